--- /dev/null
+++ b/cmd/jayshift/load.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"jayshift/io/help"
+	"jayshift/io/load"
+)
+
+type loadCommand struct {
+	Entries []string      `help:"Caller addresses of entry hosts." required:""`
+	Teams   []string      `help:"Teams as name:key:requests-a-second[:rate:burst], the limit for telling refusals within it." required:""`
+	Paths   []string      `help:"Path prefixes of the services." required:""`
+	Length  time.Duration `help:"How long to send." default:"10s"`
+	Seed    uint64        `help:"Seed of the load." default:"1"`
+	Write   float64       `help:"Share of non-idempotent requests." default:"0.2"`
+	Upload  float64       `help:"Share of uploads among these." default:"0"`
+	Bytes   int           `help:"Size of an upload." default:"200000"`
+	Skew    float64       `help:"Share of requests to the first entry beyond an even spread." default:"0"`
+}
+
+// Run sends the load and prints a table.
+func (l *loadCommand) Run() error {
+	plan := load.Plan{
+		Seed: l.Seed, Length: l.Length, Paths: l.Paths, Write: l.Write, Upload: l.Upload, Bytes: l.Bytes,
+		Skew: l.Skew, Resend: 2, Entries: func() []string { return l.Entries },
+	}
+	for _, text := range l.Teams {
+		team, err := parseTeam(text)
+		if err != nil {
+			return err
+		}
+		plan.Teams = append(plan.Teams, team)
+	}
+	fmt.Print(load.Run(context.Background(), plan).Table())
+	return nil
+}
+
+func parseTeam(text string) (load.Team, error) {
+	parts := strings.Split(text, ":")
+	if len(parts) != 3 && len(parts) != 5 {
+		return load.Team{}, merry.Errorf("team %q must be name:key:requests-a-second[:rate:burst]", text)
+	}
+	team := load.Team{Name: parts[0], Key: parts[1]}
+	for i, field := range []*float64{&team.Offer, &team.Rate, &team.Burst}[:len(parts)-2] {
+		x, err := strconv.ParseFloat(parts[i+2], 64)
+		if err != nil || x < 0 {
+			return load.Team{}, merry.Errorf("team %q: %q is not a number", team.Name, parts[i+2])
+		}
+		*field = x
+	}
+	return team, nil
+}
+
+type helpCommand struct {
+	Page string `arg:"" optional:"" help:"Page to show; the list of pages when left out."`
+}
+
+// Run shows a help page.
+func (h *helpCommand) Run() error {
+	text, err := help.Page(h.Page)
+	fmt.Print(text)
+	return err
+}
--- /dev/null
+++ b/core/once/ledger.go
@@ -0,0 +1,140 @@
+// Package once keeps records of requests that must run at most once.
+package once
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	shardCount = 32
+	maxRecords = 8192 // in one shard
+)
+
+// Key is a team and the idempotency key that its caller chose.
+type Key string
+
+// Owner identifies one run.
+type Owner string
+
+// State is how far a run has come.
+type State string
+
+// States of a run.
+const (
+	Fresh   State = "fresh"   // no run is known; the asker's run is now recorded
+	Running State = "running" // a run was started and its outcome is not known yet
+	Done    State = "done"    // a run ended with an outcome
+	Unknown State = "unknown" // a run was started and its outcome will never be known
+	Full    State = "full"    // the ledger has no room; nothing was recorded
+)
+
+// Outcome is the answer that a run gave.
+type Outcome struct {
+	Status    int
+	Header    map[string]string
+	Body      []byte
+	Truncated bool // the body was too large to keep
+}
+
+// Record is what the ledger knows of one key.
+type Record struct {
+	State   State
+	Owner   Owner
+	Outcome Outcome
+	until   time.Time
+}
+
+// Ledger is one host's memory of runs, in shards with a lock each.
+type Ledger struct {
+	memory time.Duration
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu      sync.Mutex
+	records map[Key]*Record
+	swept   time.Time
+}
+
+// New returns an empty ledger that remembers for so long.
+func New(memory time.Duration) *Ledger {
+	l := &Ledger{memory: memory}
+	for i := range l.shards {
+		l.shards[i].records = map[Key]*Record{}
+	}
+	return l
+}
+
+func (l *Ledger) shard(k Key) *shard { return &l.shards[xxhash.Sum64String(string(k))%shardCount] }
+
+// Start records a run and returns Fresh, or returns what is known of an earlier one.
+// A repeat by the same owner is Fresh again.
+func (l *Ledger) Start(now time.Time, k Key, owner Owner) Record {
+	s := l.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep(now)
+	if r, ok := s.records[k]; ok && now.Before(r.until) {
+		if r.Owner == owner && r.State == Running {
+			return Record{State: Fresh, Owner: owner}
+		}
+		return *r
+	}
+	if len(s.records) >= maxRecords {
+		return Record{State: Full}
+	}
+	s.records[k] = &Record{State: Running, Owner: owner, until: now.Add(l.memory)}
+	return Record{State: Fresh, Owner: owner}
+}
+
+// Finish records the outcome of the owner's run. Repeats and runs of others change nothing.
+func (l *Ledger) Finish(now time.Time, k Key, owner Owner, state State, outcome Outcome) {
+	s := l.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[k]
+	if !ok || r.Owner != owner || r.State != Running {
+		return
+	}
+	r.State = state
+	r.Outcome = outcome
+	r.until = now.Add(l.memory)
+}
+
+// Cancel forgets the owner's run, which was certainly not run.
+func (l *Ledger) Cancel(k Key, owner Owner) {
+	s := l.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.records[k]; ok && r.Owner == owner && r.State == Running {
+		delete(s.records, k)
+	}
+}
+
+// sweep drops what is too old, at most once a second.
+func (s *shard) sweep(now time.Time) {
+	if now.Sub(s.swept) < time.Second {
+		return
+	}
+	s.swept = now
+	for k, r := range s.records {
+		if !now.Before(r.until) {
+			delete(s.records, k)
+		}
+	}
+}
+
+// Length returns the number of records.
+func (l *Ledger) Length() int {
+	n := 0
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		n += len(s.records)
+		s.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/core/share/rate.go
@@ -0,0 +1,286 @@
+package share
+
+import (
+	"slices"
+	"time"
+
+	"jayshift/core/ident"
+)
+
+const (
+	keepPercent  = 115 // share of its own demand that a lender keeps
+	wantPercent  = 130 // share of its own demand that a borrower asks for
+	shortPercent = 110 // share of its own demand below which a borrower asks
+	renewBefore  = 800 * time.Millisecond
+	spotHorizon  = 50 * time.Millisecond // demand that a spot loan covers
+	maxSpot      = 10 * Unit
+)
+
+// Rate is one host's share of a rate and burst: a token bucket whose size changes with loans.
+type Rate struct {
+	base      Amount
+	tokens    int64
+	remainder uint64
+	at        time.Time
+	lent      []Loan
+	borrowed  []Loan
+	demand    meter
+	sequence  int64
+	emptyTill time.Time
+}
+
+// NewRate returns an empty share.
+func NewRate(now time.Time) *Rate { return &Rate{at: now, demand: meter{at: now}} }
+
+// SetBase sets what the host holds of the limit; what it has lent counts against it.
+// Tokens come only with full, for a limit that no other host can have spent from.
+func (r *Rate) SetBase(now time.Time, rate, burst int64, full bool) {
+	r.settle(now)
+	r.base.Rate = rate
+	r.base.Burst = burst
+	if full {
+		r.tokens = r.burst()
+	}
+	r.trim()
+}
+
+// rate returns the refill rate with loans counted.
+func (r *Rate) rate() int64 {
+	n := r.base.Rate
+	for _, l := range r.lent {
+		n -= l.Amount.Rate
+	}
+	n = max(n, 0)
+	for _, l := range r.borrowed {
+		n += l.Amount.Rate
+	}
+	return n
+}
+
+// burst returns the bucket size with loans counted.
+func (r *Rate) burst() int64 {
+	n := r.base.Burst
+	for _, l := range r.lent {
+		n -= l.Amount.Burst
+	}
+	n = max(n, 0)
+	for _, l := range r.borrowed {
+		n += l.Amount.Burst
+	}
+	return n
+}
+
+func (r *Rate) trim() { r.tokens = min(r.tokens, r.burst()) }
+
+// settle accrues tokens up to now and ends the loans whose deadline has passed, in order of time.
+func (r *Rate) settle(now time.Time) {
+	for {
+		next, ok := r.nextDeadline(now)
+		if !ok {
+			break
+		}
+		r.accrue(next)
+		ended := func(l Loan) bool { return !l.Deadline.After(next) }
+		r.borrowed = slices.DeleteFunc(r.borrowed, ended)
+		r.lent = slices.DeleteFunc(r.lent, ended)
+		r.trim()
+	}
+	r.accrue(now)
+}
+
+func (r *Rate) nextDeadline(now time.Time) (time.Time, bool) {
+	var next time.Time
+	for _, list := range [][]Loan{r.borrowed, r.lent} {
+		for _, l := range list {
+			if !l.Deadline.After(now) && (next.IsZero() || l.Deadline.Before(next)) {
+				next = l.Deadline
+			}
+		}
+	}
+	return next, !next.IsZero()
+}
+
+func (r *Rate) accrue(to time.Time) {
+	d := to.Sub(r.at)
+	if d <= 0 {
+		return
+	}
+	var gained int64
+	gained, r.remainder = accrued(r.rate(), d, r.remainder)
+	r.at = to
+	r.tokens += gained
+	r.trim()
+}
+
+// Take spends n millionths, or nothing and returns false. Each first attempt counts as demand.
+func (r *Rate) Take(now time.Time, n int64, first bool) bool {
+	r.settle(now)
+	if first {
+		r.demand.add(now, n)
+	}
+	if r.tokens < n {
+		return false
+	}
+	r.tokens -= n
+	return true
+}
+
+// Refund gives back what was taken and not used.
+func (r *Rate) Refund(now time.Time, n int64) {
+	r.settle(now)
+	r.tokens += n
+	r.trim()
+}
+
+// Lend subtracts a loan from the share and returns it; false when there is nothing to spare.
+// An ask with a rate is for steady demand, one without is for tokens at once.
+// The deadline is on this host's clock and must lie after the borrower's by the drift margin.
+func (r *Rate) Lend(now time.Time, peer ident.Host, ask Amount, deadline time.Time) (Loan, bool) {
+	r.settle(now)
+	give := r.spareTokens(ask)
+	if ask.Rate > 0 {
+		give = r.spareRate(now, ask)
+	}
+	if give.Burst <= 0 {
+		return Loan{}, false
+	}
+	r.sequence++
+	r.tokens -= give.Tokens
+	l := Loan{Peer: peer, Sequence: r.sequence, Amount: give, Deadline: deadline}
+	r.lent = append(r.lent, l)
+	r.trim()
+	return l, true
+}
+
+// own returns what remains of the base after loans; only that can be lent.
+func (r *Rate) own() Amount {
+	a := Amount{Rate: r.base.Rate, Burst: r.base.Burst}
+	for _, l := range r.lent {
+		a.Rate -= l.Amount.Rate
+		a.Burst -= l.Amount.Burst
+	}
+	return Amount{Rate: max(a.Rate, 0), Burst: max(a.Burst, 0)}
+}
+
+func (r *Rate) spareTokens(ask Amount) Amount {
+	give := min(ask.Tokens, r.own().Burst, max(r.tokens/2, min(Unit, r.tokens)))
+	if give < min(Unit, ask.Tokens) {
+		return Amount{}
+	}
+	return Amount{Burst: give, Tokens: give}
+}
+
+func (r *Rate) spareRate(now time.Time, ask Amount) Amount {
+	own := r.own()
+	spare := min(r.rate()-r.demand.rate(now)*keepPercent/100, own.Rate, ask.Rate)
+	if spare <= own.Rate/50 {
+		return Amount{}
+	}
+	burst := fraction(own.Burst, spare, own.Rate)
+	tokens := min(fraction(r.tokens, burst, r.burst()), burst)
+	return Amount{Rate: spare, Burst: burst, Tokens: tokens}
+}
+
+// Borrow adds a loan from a peer; the deadline is on this host's clock. A loan that has ended adds nothing.
+func (r *Rate) Borrow(now time.Time, l Loan) {
+	r.settle(now)
+	if !l.Deadline.After(now) || l.Amount.Tokens > l.Amount.Burst {
+		return
+	}
+	r.borrowed = append(r.borrowed, l)
+	r.tokens += l.Amount.Tokens
+	r.trim()
+}
+
+// Returned takes back a loan before its deadline, with the tokens that the borrower subtracted. Repeats do nothing.
+func (r *Rate) Returned(now time.Time, peer ident.Host, sequence, tokens int64) {
+	r.settle(now)
+	i := slices.IndexFunc(r.lent, func(l Loan) bool { return l.Peer == peer && l.Sequence == sequence })
+	if i < 0 {
+		return
+	}
+	tokens = min(tokens, r.lent[i].Amount.Burst)
+	r.lent = slices.Delete(r.lent, i, i+1)
+	r.tokens += max(tokens, 0)
+	r.trim()
+}
+
+// GiveBack ends the borrowed loans that demand no longer needs, or all, and returns them with the tokens to hand back.
+func (r *Rate) GiveBack(now time.Time, all bool) []Loan {
+	r.settle(now)
+	var list []Loan
+	want := r.demand.rate(now) * wantPercent / 100
+	for i := 0; i < len(r.borrowed); {
+		l := r.borrowed[i]
+		if !all && (l.Amount.Rate == 0 || r.rate()-l.Amount.Rate < want) {
+			i++
+			continue
+		}
+		l.Amount.Tokens = min(fraction(r.tokens, l.Amount.Burst, r.burst()), l.Amount.Burst)
+		r.tokens -= l.Amount.Tokens
+		r.borrowed = slices.Delete(r.borrowed, i, i+1)
+		r.trim()
+		list = append(list, l)
+	}
+	return list
+}
+
+// Shortfall returns the rate to ask peers for so that forecast demand is met, zero when the share suffices.
+// Loans that end soon do not count.
+func (r *Rate) Shortfall(now time.Time) int64 {
+	r.settle(now)
+	lasting := r.own().Rate
+	for _, l := range r.borrowed {
+		if l.Deadline.After(now.Add(renewBefore)) {
+			lasting += l.Amount.Rate
+		}
+	}
+	demand := r.demand.rate(now)
+	if demand*shortPercent/100 <= lasting {
+		return 0
+	}
+	return demand*wantPercent/100 - lasting
+}
+
+// Spot returns the tokens to ask a peer for when a request of n finds none.
+func (r *Rate) Spot(now time.Time, n int64) int64 {
+	ahead := fraction(r.demand.rate(now), int64(spotHorizon), int64(time.Second))
+	return max(n, min(ahead, maxSpot))
+}
+
+// Spare returns the tokens at hand, as a hint for peers.
+func (r *Rate) Spare(now time.Time) int64 {
+	r.settle(now)
+	return r.tokens
+}
+
+// SetEmpty notes that the fleet had nothing to lend, so that no peer is asked before the time.
+func (r *Rate) SetEmpty(until time.Time) { r.emptyTill = until }
+
+// Empty returns the time before which asking peers is pointless.
+func (r *Rate) Empty() time.Time { return r.emptyTill }
+
+// Wait returns how long this share alone needs to gather n millionths, at most a second.
+func (r *Rate) Wait(now time.Time, n int64) time.Duration {
+	r.settle(now)
+	rate := r.rate()
+	if rate <= 0 {
+		return time.Second
+	}
+	missing := max(n-r.tokens, 0)
+	return min(time.Duration(float64(missing)/float64(rate)*float64(time.Second)), time.Second)
+}
+
+// Settled tells whether a smaller base still covers all that is lent.
+func (r *Rate) Settled(now time.Time, rate, burst int64) bool {
+	r.settle(now)
+	lent := Amount{}
+	for _, l := range r.lent {
+		lent.Rate += l.Amount.Rate
+		lent.Burst += l.Amount.Burst
+	}
+	return lent.Rate <= rate && lent.Burst <= burst
+}
+
+// Demand returns the estimated demand in millionths a second.
+func (r *Rate) Demand(now time.Time) int64 { return r.demand.rate(now) }
--- /dev/null
+++ b/core/trial/plan.go
@@ -0,0 +1,47 @@
+package trial
+
+import "time"
+
+const (
+	// DefaultShare is the share of requests that a version gets until it is judged.
+	DefaultShare = 0.02
+	leastDwell   = 1500 * time.Millisecond // shortest stay at one share
+	mostDwell    = 60 * time.Second
+)
+
+// steps are the shares after the first one.
+var steps = []float64{0.1, 0.25, 0.5, 1}
+
+// Step is where a move stands.
+type Step struct {
+	Share float64
+	Since time.Time
+}
+
+// Next returns the share that follows the present one, and whether the move has ended well.
+// The stay at each share is a fair part of the time that is left; while there is time, a share grows
+// only after the version was judged on it.
+func Next(now time.Time, at Step, by time.Time, judged bool) (share float64, done bool) {
+	left := stepsAfter(at.Share)
+	dwell := min(max(by.Sub(at.Since)/time.Duration(len(left)+2), leastDwell), mostDwell)
+	if now.Before(at.Since.Add(dwell)) {
+		return at.Share, false
+	}
+	latest := by.Add(-time.Duration(len(left)+1) * leastDwell)
+	if !judged && now.Before(latest) {
+		return at.Share, false
+	}
+	if len(left) == 0 {
+		return at.Share, true
+	}
+	return left[0], false
+}
+
+func stepsAfter(share float64) []float64 {
+	for i, s := range steps {
+		if s > share {
+			return steps[i:]
+		}
+	}
+	return nil
+}
