--- a/core/seat/revoke.go
+++ b/core/seat/revoke.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// Last returns the renewal of the host that was seen last. Written again with a mark, it makes the host's next one fail.
+func (w *Watcher) Last(host ident.Host) wire.Renewal { return w.seen[host].Renewal }
+
 func (w *Watcher) silent(now time.Time, s wire.Seat) bool {
 	host := ident.Host(s.Host)
 	o, ok := w.seen[host]
@@ -93,8 +96,8 @@
 	return now.Sub(o.Changed) > w.silence
 }
 
-// confirm notes when every unmarked seat has shown that it saw a mark. Renewals compare the table's revision,
-// so a renewal that landed with that generation or a later one is the proof.
+// confirm notes when every unmarked seat has shown that it saw a mark: its renewal states the generation
+// that it had seen when it sent it, and a host never goes back to an older table.
 func (w *Watcher) confirm(now time.Time, t wire.SeatTable) {
 	for _, s := range t.Seats {
 		host := ident.Host(s.Host)
--- a/core/seat/table.go
+++ b/core/seat/table.go
@@ -94,7 +94,8 @@
 	return next, nil
 }
 
-// Mark starts the revocation of a seat. From then on the host's renewals fail, since they compare the table's revision.
+// Mark starts the revocation of a seat. The host's renewal key must be written in the same step, so that from then on
+// the host's renewals fail: each compares the key with the host's last renewal.
 func Mark(t wire.SeatTable, host ident.Host) wire.SeatTable {
 	next := clone(t)
 	if i := indexOf(next, host); i >= 0 {
--- a/io/member/controller.go
+++ b/io/member/controller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"jayshift/core/ident"
 	"jayshift/core/seat"
 	"jayshift/core/wire"
 	"jayshift/io/feed"
@@ -54,7 +55,7 @@
 		if !changed {
 			return nil
 		}
-		err := m.writeTable(ctx, next, revision)
+		err := m.writeTable(ctx, next, revision, m.renewalWrites(t, next)...)
 		if errors.Is(err, store.ErrConflict) {
 			return nil
 		}
@@ -66,6 +67,27 @@
 	return nil
 }
 
+// renewalWrites returns the renewal keys to change together with the table: a newly marked host's key is written again,
+// so that its renewals fail from then on, and a removed host's key goes.
+func (m *Member) renewalWrites(before, after wire.SeatTable) []store.Write {
+	var writes []store.Write
+	for _, s := range before.Seats {
+		host := ident.Host(s.Host)
+		now, seated := seat.Find(after, host)
+		switch {
+		case !seated:
+			writes = append(writes, store.Write{Key: feed.RenewalKey(s.Host), Delete: true})
+		case now.Mark > 0 && s.Mark == 0:
+			last := m.controller.watcher.Last(host)
+			last.WriteId = store.NewWriteID()
+			if value, err := json.Marshal(last); err == nil {
+				writes = append(writes, store.Write{Key: feed.RenewalKey(s.Host), Value: value})
+			}
+		}
+	}
+	return writes
+}
+
 func renewalsOf(kvs []store.KV) []wire.Renewal {
 	var list []wire.Renewal
 	for _, kv := range kvs {
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -60,6 +60,8 @@
 	mu            sync.Mutex
 	table         wire.SeatTable
 	tableRevision int64
+	ownRevision   int64 // store revision of this host's last renewal
+	ownWrite      string
 	joined        bool
 	left          bool
 	lag           int
@@ -273,7 +275,7 @@
 		if err != nil {
 			return err
 		}
-		if err := m.writeTable(ctx, next, revision); err != nil {
+		if err := m.takeSeat(ctx, next, revision); err != nil {
 			return err
 		}
 	}
@@ -286,15 +288,36 @@
 	return nil
 }
 
-// writeTable replaces the table that stands at the revision. When the answer is lost, a read settles whether it landed.
-func (m *Member) writeTable(ctx context.Context, t wire.SeatTable, revision int64) error {
+// takeSeat writes the table with this host's seat, and its first renewal in the same step.
+func (m *Member) takeSeat(ctx context.Context, t wire.SeatTable, revision int64) error {
+	m.mu.Lock()
+	m.round++
+	renewal := m.renewalRecord()
+	renewal.Generation = t.Generation
+	m.ownWrite = renewal.WriteId
+	m.mu.Unlock()
+	value, err := json.Marshal(renewal)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	if err := m.writeTable(ctx, t, revision, store.Write{Key: feed.RenewalKey(renewal.Host), Value: value}); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ownRevision = m.tableRevision
+	return nil
+}
+
+// writeTable replaces the table that stands at the revision, with other keys in the same step. When the answer is lost, a read settles whether it landed.
+func (m *Member) writeTable(ctx context.Context, t wire.SeatTable, revision int64, others ...store.Write) error {
 	t.WriteId = store.NewWriteID()
 	value, err := json.Marshal(t)
 	if err != nil {
 		return merry.Wrap(err)
 	}
 	compares := []store.Compare{{Key: feed.TableKey, Revision: revision}}
-	writes := []store.Write{{Key: feed.TableKey, Value: value}}
+	writes := append([]store.Write{{Key: feed.TableKey, Value: value}}, others...)
 	at, found, err := m.seams.Store.Txn(ctx, compares, writes, []string{feed.TableKey})
 	if err == nil {
 		m.SetTable(t, ident.Revision(at))
@@ -313,42 +336,67 @@
 	return err
 }
 
-// renew writes this host's renewal. It lands only if the host knows the table as it is now.
+// renew writes this host's renewal. It lands only on the host's last one: a mark on the seat replaces that, and renewals fail.
 func (m *Member) renew(ctx context.Context) error {
-	err := m.renewOnce(ctx)
-	if errors.Is(err, store.ErrConflict) && m.hasSeat() {
-		err = m.renewOnce(ctx)
-	}
-	return err
-}
-
-func (m *Member) renewOnce(ctx context.Context) error {
 	m.mu.Lock()
 	m.round++
-	renewal := wire.Renewal{
-		Host: m.hello.Host, Incarnation: m.hello.Incarnation, Generation: m.table.Generation, Round: m.round,
-		Revision: int(m.seams.Revision()), WriteId: store.NewWriteID(),
-	}
-	revision := m.tableRevision
+	renewal := m.renewalRecord()
+	compares := []store.Compare{{Key: feed.RenewalKey(renewal.Host), Revision: m.ownRevision}}
 	lease := m.lease.Load()
+	m.ownWrite = renewal.WriteId
 	m.mu.Unlock()
 	value, err := json.Marshal(renewal)
 	if err != nil {
 		return merry.Wrap(err)
 	}
 	sent := time.Now()
-	compares := []store.Compare{{Key: feed.TableKey, Revision: revision}}
 	writes := []store.Write{{Key: feed.RenewalKey(renewal.Host), Value: value}}
-	_, found, err := m.seams.Store.Txn(ctx, compares, writes, []string{feed.TableKey, feed.HeadKey})
+	revision, found, err := m.seams.Store.Txn(ctx, compares, writes, []string{feed.TableKey, feed.HeadKey})
 	m.adopt(found)
 	if err != nil {
-		return err
+		return m.settleRenewal(ctx, err)
 	}
+	m.setOwn(revision)
 	lease.Renewed(sent)
 	m.checkHead(found)
 	return nil
 }
 
+// renewalRecord returns the renewal to write. The caller holds the lock.
+func (m *Member) renewalRecord() wire.Renewal {
+	return wire.Renewal{
+		Host: m.hello.Host, Incarnation: m.hello.Incarnation, Generation: m.table.Generation, Round: m.round,
+		Revision: int(m.seams.Revision()), WriteId: store.NewWriteID(),
+	}
+}
+
+func (m *Member) setOwn(revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ownRevision = revision
+}
+
+// settleRenewal reads the host's own key after a renewal that failed or whose answer was lost. A write of this host's
+// own is where the next renewal goes on; anything else means that the seat was marked or taken.
+func (m *Member) settleRenewal(ctx context.Context, failed error) error {
+	_, found, err := m.seams.Store.Txn(ctx, nil, nil, []string{feed.RenewalKey(m.hello.Host), feed.TableKey})
+	if err != nil {
+		return failed
+	}
+	m.adopt(found)
+	for _, kv := range found {
+		var r wire.Renewal
+		if string(kv.Key) == feed.RenewalKey(m.hello.Host) && json.Unmarshal(kv.Value, &r) == nil {
+			m.mu.Lock()
+			if r.WriteId == m.ownWrite {
+				m.ownRevision = kv.ModRevision
+			}
+			m.mu.Unlock()
+		}
+	}
+	return failed
+}
+
 // checkHead asks for a full read when the watch stays behind the store.
 func (m *Member) checkHead(found []store.KV) {
 	head := int64(0)
@@ -402,7 +450,7 @@
 		if err != nil {
 			return nil
 		}
-		err = m.writeTable(ctx, next, revision)
+		err = m.writeTable(ctx, next, revision, store.Write{Key: feed.RenewalKey(m.hello.Host), Delete: true})
 		if err == nil || !errors.Is(err, store.ErrConflict) {
 			return err
 		}
