Gather each region's shares of a limit at one live host

Cause of refusals within a team's rate: a burst of 20 cut along 10 partitions gives buckets of two tokens, which refuse by chance, and each token lent for 300 ms took its place in the lender's bucket with it. Ruled out: message latency (the static cut, which sends nothing, refuses more). Now the region's gathering host (rendezvous over live hosts) borrows all shares of the region on 2 s loans that it extends; other hosts take single tokens there and give the loan back spent at once.

--- a/core/share/amount.go
+++ b/core/share/amount.go
@@ -27,6 +27,7 @@
 	Sequence int64
 	Amount   Amount
 	Deadline time.Time
+	Gathered bool // lent to the host that gathers the region's shares
 }
 
 // Micro converts a number of requests, bytes or slots to millionths.
--- a/core/share/rate.go
+++ b/core/share/rate.go
@@ -12,8 +12,8 @@
 	wantPercent  = 130 // share of its own demand that a borrower asks for
 	shortPercent = 110 // share of its own demand below which a borrower asks
 	renewBefore  = 800 * time.Millisecond
-	spotHorizon  = 50 * time.Millisecond // demand that a spot loan covers
-	maxSpot      = 10 * Unit
+	// leastFragment is the smallest burst that a steady loan brings; smaller buckets refuse by chance.
+	leastFragment = 4 * Unit
 )
 
 // Rate is one host's share of a rate and burst: a token bucket whose size changes with loans.
@@ -44,31 +44,23 @@
 	r.trim()
 }
 
-// rate returns the refill rate with loans counted.
-func (r *Rate) rate() int64 {
-	n := r.base.Rate
+// held returns the refill rate and bucket size with loans counted.
+func (r *Rate) held() Amount {
+	a := Amount{Rate: r.base.Rate, Burst: r.base.Burst}
 	for _, l := range r.lent {
-		n -= l.Amount.Rate
+		a.Rate -= l.Amount.Rate
+		a.Burst -= l.Amount.Burst
 	}
-	n = max(n, 0)
 	for _, l := range r.borrowed {
-		n += l.Amount.Rate
+		a.Rate += l.Amount.Rate
+		a.Burst += l.Amount.Burst
 	}
-	return n
+	return Amount{Rate: max(a.Rate, 0), Burst: max(a.Burst, 0)}
 }
 
-// burst returns the bucket size with loans counted.
-func (r *Rate) burst() int64 {
-	n := r.base.Burst
-	for _, l := range r.lent {
-		n -= l.Amount.Burst
-	}
-	n = max(n, 0)
-	for _, l := range r.borrowed {
-		n += l.Amount.Burst
-	}
-	return n
-}
+func (r *Rate) rate() int64 { return r.held().Rate }
+
+func (r *Rate) burst() int64 { return r.held().Burst }
 
 func (r *Rate) trim() { r.tokens = min(r.tokens, r.burst()) }
 
@@ -133,14 +125,26 @@
 }
 
 // Lend subtracts a loan from the share and returns it; false when there is nothing to spare.
-// An ask with a rate is for steady demand, one without is for tokens at once.
+// An ask with a rate is for steady demand, one without is for tokens at once, which count as demand here.
 // The deadline is on this host's clock and must lie after the borrower's by the drift margin.
 func (r *Rate) Lend(now time.Time, peer ident.Host, ask Amount, deadline time.Time) (Loan, bool) {
 	r.settle(now)
-	give := r.spareTokens(ask)
 	if ask.Rate > 0 {
-		give = r.spareRate(now, ask)
+		return r.lend(peer, r.spareRate(now, ask, deadline), deadline)
 	}
+	r.demand.add(now, ask.Tokens)
+	return r.lend(peer, r.spareTokens(ask, deadline), deadline)
+}
+
+// LendAll lends everything that is not on loan yet to the host that gathers the region's shares.
+func (r *Rate) LendAll(now time.Time, peer ident.Host, deadline time.Time) (Loan, bool) {
+	r.settle(now)
+	give := r.lendable(deadline)
+	give.Tokens = min(r.tokens, give.Burst)
+	return r.lend(peer, give, deadline)
+}
+
+func (r *Rate) lend(peer ident.Host, give Amount, deadline time.Time) (Loan, bool) {
 	if give.Burst <= 0 {
 		return Loan{}, false
 	}
@@ -152,9 +156,46 @@
 	return l, true
 }
 
-// own returns what remains of the base after loans; only that can be lent.
-func (r *Rate) own() Amount {
+// Extend moves the deadline of a loan that has not ended; false when there is no such loan.
+func (r *Rate) Extend(now time.Time, peer ident.Host, sequence int64, deadline time.Time) (Loan, bool) {
+	r.settle(now)
+	for i := range r.lent {
+		l := &r.lent[i]
+		if l.Peer == peer && l.Sequence == sequence {
+			l.Deadline = later(l.Deadline, deadline)
+			return *l, true
+		}
+	}
+	return Loan{}, false
+}
+
+// Extended moves the deadline of a borrowed loan, after its lender has agreed. A loan that has ended stays ended.
+func (r *Rate) Extended(now time.Time, lender ident.Host, sequence int64, deadline time.Time) {
+	r.settle(now)
+	for i := range r.borrowed {
+		l := &r.borrowed[i]
+		if l.Peer == lender && l.Sequence == sequence {
+			l.Deadline = later(l.Deadline, deadline)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// lendable returns what can be lent until the deadline: the base and the loans that last as long, less what is lent.
+func (r *Rate) lendable(deadline time.Time) Amount {
 	a := Amount{Rate: r.base.Rate, Burst: r.base.Burst}
+	for _, l := range r.borrowed {
+		if !l.Deadline.Before(deadline) {
+			a.Rate += l.Amount.Rate
+			a.Burst += l.Amount.Burst
+		}
+	}
 	for _, l := range r.lent {
 		a.Rate -= l.Amount.Rate
 		a.Burst -= l.Amount.Burst
@@ -162,21 +203,21 @@
 	return Amount{Rate: max(a.Rate, 0), Burst: max(a.Burst, 0)}
 }
 
-func (r *Rate) spareTokens(ask Amount) Amount {
-	give := min(ask.Tokens, r.own().Burst, max(r.tokens/2, min(Unit, r.tokens)))
-	if give < min(Unit, ask.Tokens) {
+func (r *Rate) spareTokens(ask Amount, deadline time.Time) Amount {
+	give := min(ask.Tokens, r.lendable(deadline).Burst, r.tokens)
+	if give < ask.Tokens {
 		return Amount{}
 	}
 	return Amount{Burst: give, Tokens: give}
 }
 
-func (r *Rate) spareRate(now time.Time, ask Amount) Amount {
-	own := r.own()
+func (r *Rate) spareRate(now time.Time, ask Amount, deadline time.Time) Amount {
+	own := r.lendable(deadline)
 	spare := min(r.rate()-r.demand.rate(now)*keepPercent/100, own.Rate, ask.Rate)
-	if spare <= own.Rate/50 {
+	burst := fraction(own.Burst, spare, own.Rate)
+	if burst < leastFragment {
 		return Amount{}
 	}
-	burst := fraction(own.Burst, spare, own.Rate)
 	tokens := min(fraction(r.tokens, burst, r.burst()), burst)
 	return Amount{Rate: spare, Burst: burst, Tokens: tokens}
 }
@@ -205,14 +246,16 @@
 	r.trim()
 }
 
-// GiveBack ends the borrowed loans that demand no longer needs, or all, and returns them with the tokens to hand back.
-func (r *Rate) GiveBack(now time.Time, all bool) []Loan {
+// GiveBack ends borrowed loans and returns them with the tokens to hand back: all of them, or the steady ones that
+// demand no longer needs, and the gathered ones unless this host still gathers.
+func (r *Rate) GiveBack(now time.Time, all, gathers bool) []Loan {
 	r.settle(now)
 	var list []Loan
 	want := r.demand.rate(now) * wantPercent / 100
 	for i := 0; i < len(r.borrowed); {
 		l := r.borrowed[i]
-		if !all && (l.Amount.Rate == 0 || r.rate()-l.Amount.Rate < want) {
+		surplus := !l.Gathered && l.Amount.Rate > 0 && r.rate()-l.Amount.Rate >= want
+		if !all && !surplus && (!l.Gathered || gathers) {
 			i++
 			continue
 		}
@@ -225,16 +268,23 @@
 	return list
 }
 
-// Shortfall returns the rate to ask peers for so that forecast demand is met, zero when the share suffices.
-// Loans that end soon do not count.
-func (r *Rate) Shortfall(now time.Time) int64 {
+// Expiring returns the gathered loans that end before the time, to be extended.
+func (r *Rate) Expiring(now, before time.Time) []Loan {
 	r.settle(now)
-	lasting := r.own().Rate
+	var list []Loan
 	for _, l := range r.borrowed {
-		if l.Deadline.After(now.Add(renewBefore)) {
-			lasting += l.Amount.Rate
+		if l.Gathered && l.Deadline.Before(before) {
+			list = append(list, l)
 		}
 	}
+	return list
+}
+
+// Shortfall returns the rate to ask peers for so that forecast demand is met, zero when the share suffices.
+// Loans that end soon do not count.
+func (r *Rate) Shortfall(now time.Time) int64 {
+	r.settle(now)
+	lasting := r.lendable(now.Add(renewBefore)).Rate
 	demand := r.demand.rate(now)
 	if demand*shortPercent/100 <= lasting {
 		return 0
@@ -242,12 +292,6 @@
 	return demand*wantPercent/100 - lasting
 }
 
-// Spot returns the tokens to ask a peer for when a request of n finds none.
-func (r *Rate) Spot(now time.Time, n int64) int64 {
-	ahead := fraction(r.demand.rate(now), int64(spotHorizon), int64(time.Second))
-	return max(n, min(ahead, maxSpot))
-}
-
 // Spare returns the tokens at hand, as a hint for peers.
 func (r *Rate) Spare(now time.Time) int64 {
 	r.settle(now)
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -110,6 +110,7 @@
 	if rapid.Bool().Draw(f.t, "steady") {
 		ask = share.Amount{Rate: int64(rapid.IntRange(1, 200).Draw(f.t, "ask rate")) * rateUnit}
 	}
+	all := rapid.IntRange(0, 3).Draw(f.t, "all") == 0
 	deadline := f.clock(h).Add(term)
 	answered := false
 	f.send(func() {
@@ -118,6 +119,9 @@
 		}
 		now := f.clock(peer)
 		loan, ok := peer.rate.Lend(now, h.name, ask, now.Add(term+term/lendExtra))
+		if all {
+			loan, ok = peer.rate.LendAll(now, h.name, now.Add(term+term/lendExtra))
+		}
 		if !ok {
 			return
 		}
@@ -128,18 +132,42 @@
 			}
 			answered = true
 			loan := loan
-			loan.Peer, loan.Deadline = peer.name, deadline
+			loan.Peer, loan.Deadline, loan.Gathered = peer.name, deadline, all
 			h.rate.Borrow(f.clock(h), loan)
 		})
 	})
 }
 
+// extend asks the lenders of gathered loans for more time; the lender moves its deadline before it answers.
+func (f *fleet) extend() {
+	h := f.pick("extender")
+	if f.now < h.paused {
+		return
+	}
+	term := time.Duration(rapid.IntRange(50, 2000).Draw(f.t, "term")) * time.Millisecond
+	asked := f.clock(h)
+	for _, loan := range h.rate.Expiring(asked, asked.Add(time.Hour)) {
+		for _, peer := range f.hosts {
+			if peer.name != loan.Peer {
+				continue
+			}
+			f.send(func() {
+				now := f.clock(peer)
+				if _, ok := peer.rate.Extend(now, h.name, loan.Sequence, now.Add(term+term/lendExtra)); !ok || f.now < peer.paused {
+					return
+				}
+				f.send(func() { h.rate.Extended(f.clock(h), peer.name, loan.Sequence, asked.Add(term)) })
+			})
+		}
+	}
+}
+
 func (f *fleet) giveBack() {
 	h := f.pick("giver")
 	if f.now < h.paused {
 		return
 	}
-	for _, loan := range h.rate.GiveBack(f.clock(h), rapid.Bool().Draw(f.t, "all")) {
+	for _, loan := range h.rate.GiveBack(f.clock(h), rapid.Bool().Draw(f.t, "all"), rapid.Bool().Draw(f.t, "gathers")) {
 		for _, peer := range f.hosts {
 			if peer.name == loan.Peer {
 				f.send(func() { peer.rate.Returned(f.clock(peer), h.name, loan.Sequence, loan.Amount.Tokens) })
@@ -221,6 +249,8 @@
 			f.crash()
 		}
 	case 12:
+		f.extend()
+	case 13:
 		h := f.pick("paused")
 		h.paused = f.now + time.Duration(rapid.IntRange(0, 3000).Draw(f.t, "pause"))*time.Millisecond
 	}
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -247,12 +247,14 @@
 
 // Asks a peer for part of its share of a quantity.
 type LoanAsk struct {
+	// True when the asker gathers the region's shares and wants all of it.
+	All bool `json:"all" cbor:"all"`
+
 	// Burst wanted, in millionths.
 	Burst int `json:"burst" cbor:"burst"`
 
-	// Borrower's monotonic time at which the loan ends, in nanoseconds; never read by
-	// the lender.
-	Deadline int `json:"deadline" cbor:"deadline"`
+	// Loan to extend in place of a new one, zero for none.
+	Extend int `json:"extend" cbor:"extend"`
 
 	// Quantity that is limited.
 	Quantity string `json:"quantity" cbor:"quantity"`
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -135,7 +135,7 @@
 	})
 	h.Member = h.newMember()
 	h.Loans = loans.New(loans.Seams{
-		Self: self, Book: h.Book, Call: h.Mesh.Call, Now: time.Now,
+		Self: self, Book: h.Book, Call: h.Mesh.Call, Now: time.Now, Near: h.Member.Near, Far: h.Member.Far,
 		LeaseDeadline: func(now time.Time) time.Time { return h.Member.Lease().Deadline(now) },
 	})
 	h.runs = runs.New(runs.Seams{
--- a/io/loans/forecast.go
+++ b/io/loans/forecast.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// Tick does one round of forecasts over all rates and of returns over all slots.
+// Tick does one round of gathering and forecasts over all rates, and of returns over all slots.
 func (l *Loans) Tick(ctx context.Context) {
 	for _, q := range l.seams.Book.Quantities(share.KindRate) {
 		l.balance(ctx, q)
@@ -35,24 +35,67 @@
 	}
 }
 
-// balance gives back unneeded loans of a rate, or asks for more where demand is about to exceed the share.
+// balance gives back unneeded loans of a rate, gathers when it is this host's turn, and borrows where demand is about
+// to exceed the share.
 func (l *Loans) balance(ctx context.Context, q ident.Quantity) {
-	var loans []share.Loan
+	var back, expiring []share.Loan
 	var short int64
 	now := l.seams.Now()
+	gathers := l.gathers(q)
 	l.seams.Book.Rate(q, func(r *share.Rate) {
-		loans = r.GiveBack(now, false)
+		back = r.GiveBack(now, false, gathers)
+		expiring = r.Expiring(now, now.Add(extendBefore))
 		short = r.Shortfall(now)
 	})
-	l.giveBack(ctx, q, loans)
+	l.giveBack(ctx, q, back)
+	if gathers {
+		l.gather(ctx, q, expiring)
+	}
 	if short > 0 {
 		go l.borrowAhead(ctx, q, short)
 	}
 }
 
+// gather extends the loans at hand and asks the region's holders for what they still have.
+func (l *Loans) gather(ctx context.Context, q ident.Quantity, expiring []share.Loan) {
+	for _, loan := range expiring {
+		go l.extend(ctx, q, loan)
+	}
+	near := map[ident.Host]bool{}
+	for _, h := range l.seams.Near() {
+		near[h] = true
+	}
+	for _, host := range l.seams.Book.Holders(q) {
+		if near[host] && l.due(q, host) {
+			go l.borrow(ctx, q, host, wire.LoanAsk{All: true}, steadyTerm)
+		}
+	}
+}
+
+// due spaces out the asks for all that a holder has.
+func (l *Loans) due(q ident.Quantity, host ident.Host) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := gatherKey{q, host}
+	now := l.seams.Now()
+	if now.Before(l.nextGather[key]) {
+		return false
+	}
+	l.nextGather[key] = now.Add(gatherPeriod)
+	return true
+}
+
+func (l *Loans) extend(ctx context.Context, q ident.Quantity, loan share.Loan) {
+	deadline := l.seams.Now().Add(steadyTerm)
+	ask := wire.LoanAsk{Quantity: string(q), Extend: int(loan.Sequence), TermMs: int(steadyTerm / time.Millisecond)}
+	if g, ok := l.call(ctx, loan.Peer, ask); ok && int64(g.Sequence) == loan.Sequence {
+		l.seams.Book.Rate(q, func(r *share.Rate) { r.Extended(l.seams.Now(), loan.Peer, loan.Sequence, deadline) })
+	}
+}
+
 func (l *Loans) borrowAhead(ctx context.Context, q ident.Quantity, short int64) {
 	for _, host := range l.lenders(q) {
-		got := l.ask(ctx, q, host, share.Amount{Rate: short}, steadyTerm)
+		got := l.borrow(ctx, q, host, wire.LoanAsk{Rate: int(short)}, steadyTerm)
 		short -= got.Rate
 		if short <= 0 || ctx.Err() != nil {
 			return
@@ -75,7 +118,7 @@
 func (l *Loans) GiveBackAll(ctx context.Context) {
 	for _, q := range l.seams.Book.Quantities(share.KindRate) {
 		var loans []share.Loan
-		l.seams.Book.Rate(q, func(r *share.Rate) { loans = r.GiveBack(l.seams.Now(), true) })
+		l.seams.Book.Rate(q, func(r *share.Rate) { loans = r.GiveBack(l.seams.Now(), true, false) })
 		l.giveBack(ctx, q, loans)
 	}
 	for _, q := range l.seams.Book.Quantities(share.KindCount) {
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -5,9 +5,11 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 
 	"jayshift/core/ident"
 	"jayshift/core/share"
@@ -15,16 +17,19 @@
 )
 
 const (
-	steadyTerm  = 2 * time.Second        // length of a loan for forecast demand
-	spotTerm    = 300 * time.Millisecond // length of a loan of tokens for requests at hand
-	slotTerm    = 10 * time.Second       // length of a loan of slots
-	askTimeout  = 200 * time.Millisecond
-	maxAsks     = 4 // peers asked in turn for one request
-	tickPeriod  = 200 * time.Millisecond
-	emptyLeast  = 5 * time.Millisecond
-	emptyMost   = 250 * time.Millisecond
-	driftShare  = 20 // a lender waits longer by one part in so many, and by the fixed margin
-	driftMargin = 20 * time.Millisecond
+	steadyTerm   = 2 * time.Second         // length of a loan for forecast demand
+	extendBefore = 1300 * time.Millisecond // remaining time at which a gathered loan is extended
+	gatherPeriod = 600 * time.Millisecond  // time between asks for all that a holder has
+	spotTerm     = 300 * time.Millisecond  // length of a loan of tokens for requests at hand
+	slotTerm     = 10 * time.Second        // length of a loan of slots
+	askTimeout   = 200 * time.Millisecond
+	maxAsks      = 4                     // peers asked in turn for one request
+	hintLife     = 60 * time.Millisecond // time for which an empty peer is not asked first
+	tickPeriod   = 200 * time.Millisecond
+	emptyLeast   = 5 * time.Millisecond
+	emptyMost    = 250 * time.Millisecond
+	driftShare   = 20 // a lender waits longer by one part in so many, and by the fixed margin
+	driftMargin  = 20 * time.Millisecond
 )
 
 // ErrExhausted means that the fleet has nothing left of a limit for now.
@@ -36,6 +41,9 @@
 	Book *share.Book
 	// Call sends a frame to a host and returns its answer.
 	Call func(ctx context.Context, host ident.Host, f wire.Frame) (wire.Frame, error)
+	// Near returns the live hosts of this host's region, this host included; Far those of each other region.
+	Near func() []ident.Host
+	Far  func() [][]ident.Host
 	// LeaseDeadline returns until when this host may serve, and so until when its loans may last.
 	LeaseDeadline func(now time.Time) time.Time
 	// Now is the monotonic clock.
@@ -43,24 +51,32 @@
 }
 
 // Loans takes from shares, asks peers and answers their asks.
+//
+// Small shares refuse by chance, so each region gathers its shares of a rate at one live host, on loans of a few
+// seconds that it extends. The other hosts of the region take what each request needs from there; a host with much
+// demand borrows a part for itself. When the gathering host dies the loans end, and the next host gathers.
 type Loans struct {
 	seams Seams
 	mu    sync.Mutex
-	hints map[ident.Quantity]map[ident.Host]int64 // tokens that a peer last said it had
-	asks  int64
+	empty map[ident.Quantity]map[ident.Host]time.Time // when a peer last had nothing
+	asks  atomic.Int64
+
+	nextGather map[gatherKey]time.Time
+}
+
+// gatherKey is a quantity at the host that holds part of it.
+type gatherKey struct {
+	quantity ident.Quantity
+	host     ident.Host
 }
 
 // New returns loans over the book.
 func New(seams Seams) *Loans {
-	return &Loans{seams: seams, hints: map[ident.Quantity]map[ident.Host]int64{}}
+	return &Loans{seams: seams, empty: map[ident.Quantity]map[ident.Host]time.Time{}, nextGather: map[gatherKey]time.Time{}}
 }
 
 // Asks returns how many loans were asked for.
-func (l *Loans) Asks() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.asks
-}
+func (l *Loans) Asks() int64 { return l.asks.Load() }
 
 // Refusal tells when to come back after a limit was exhausted.
 type Refusal struct {
@@ -118,15 +134,18 @@
 	l.seams.Book.Rate(q, func(r *share.Rate) { r.SetEmpty(until) })
 }
 
-// spot borrows tokens for a request at hand from one host and spends them.
+// spot takes what a request needs from one host: a loan of just that, given back spent at once.
 func (l *Loans) spot(ctx context.Context, q ident.Quantity, host ident.Host, n int64) bool {
-	now := l.seams.Now()
-	tokens := n
-	l.seams.Book.Rate(q, func(r *share.Rate) { tokens = r.Spot(now, n) })
-	l.ask(ctx, q, host, share.Amount{Burst: tokens, Tokens: tokens}, spotTerm)
-	taken := false
-	l.seams.Book.Rate(q, func(r *share.Rate) { taken = r.Take(l.seams.Now(), n, false) })
-	return taken
+	grant, ok := l.call(ctx, host, wire.LoanAsk{
+		Quantity: string(q), Burst: int(n), Tokens: int(n), TermMs: int(spotTerm / time.Millisecond),
+	})
+	if !ok || int64(grant.Tokens) < n {
+		l.noteAnswer(q, host, false)
+		return false
+	}
+	l.noteAnswer(q, host, grant.Spare > 0)
+	l.giveBack(ctx, q, []share.Loan{{Peer: host, Sequence: int64(grant.Sequence)}})
+	return true
 }
 
 // Refund gives back what was taken for work that was not sent.
@@ -134,29 +153,29 @@
 	l.seams.Book.Rate(q, func(r *share.Rate) { r.Refund(l.seams.Now(), n) })
 }
 
-// ask borrows from one host and adds the loan to the share; it returns the rate that was lent.
-func (l *Loans) ask(ctx context.Context, q ident.Quantity, host ident.Host, a share.Amount, term time.Duration) share.Amount {
+// call sends an ask and returns the grant.
+func (l *Loans) call(ctx context.Context, host ident.Host, ask wire.LoanAsk) (*wire.LoanGrant, bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	l.mu.Lock()
-	l.asks++
-	l.mu.Unlock()
-	deadline := l.seams.Now().Add(term)
-	ask := &wire.LoanAsk{
-		Quantity: string(q), Rate: int(a.Rate), Burst: int(a.Burst), Tokens: int(a.Tokens), TermMs: int(term / time.Millisecond),
-	}
-	answer, err := l.seams.Call(ctx, host, wire.Frame{LoanAsk: ask})
-	if err != nil || answer.LoanGrant == nil {
-		l.hint(q, host, 0)
-		return share.Amount{}
+	l.asks.Add(1)
+	answer, err := l.seams.Call(ctx, host, wire.Frame{LoanAsk: &ask})
+	if err != nil || answer.LoanGrant == nil || ctx.Err() != nil {
+		return nil, false
 	}
-	g := answer.LoanGrant
-	l.hint(q, host, int64(g.Spare))
-	if g.Burst <= 0 {
+	return answer.LoanGrant, true
+}
+
+// borrow asks one host and adds the loan to the share; the deadline counts from the asking.
+func (l *Loans) borrow(ctx context.Context, q ident.Quantity, host ident.Host, ask wire.LoanAsk, term time.Duration) share.Amount {
+	ask.Quantity = string(q)
+	ask.TermMs = int(term / time.Millisecond)
+	deadline := l.seams.Now().Add(term)
+	g, ok := l.call(ctx, host, ask)
+	if !ok || g.Burst <= 0 {
 		return share.Amount{}
 	}
 	loan := share.Loan{
-		Peer: host, Sequence: int64(g.Sequence), Deadline: deadline,
+		Peer: host, Sequence: int64(g.Sequence), Deadline: deadline, Gathered: ask.All,
 		Amount: share.Amount{Rate: int64(g.Rate), Burst: int64(g.Burst), Tokens: int64(g.Tokens)},
 	}
 	now := l.seams.Now()
@@ -166,29 +185,53 @@
 	return loan.Amount
 }
 
-func (l *Loans) hint(q ident.Quantity, host ident.Host, tokens int64) {
+// noteAnswer remembers that a peer had nothing left, for a short while.
+func (l *Loans) noteAnswer(q ident.Quantity, host ident.Host, more bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.hints[q] == nil {
-		l.hints[q] = map[ident.Host]int64{}
+	if more {
+		delete(l.empty[q], host)
+		return
 	}
-	l.hints[q][host] = tokens
+	if l.empty[q] == nil {
+		l.empty[q] = map[ident.Host]time.Time{}
+	}
+	l.empty[q][host] = l.seams.Now()
 }
 
-// lenders returns the hosts to ask, those with the most tokens at last hearing first; unheard ones come before empty ones.
-func (l *Loans) lenders(q ident.Quantity) []ident.Host {
-	hosts := l.seams.Book.Holders(q)
-	l.mu.Lock()
-	hints := make(map[ident.Host]int64, len(hosts))
+// gatherer returns the one of the hosts that gathers the shares of a quantity, by rendezvous hashing.
+func gatherer(q ident.Quantity, hosts []ident.Host) ident.Host {
+	var best ident.Host
+	var most uint64
 	for _, h := range hosts {
-		tokens, heard := l.hints[q][h]
-		if !heard {
-			tokens = share.Unit
+		if rank := xxhash.Sum64String(string(q) + "\x00" + string(h)); best == "" || rank > most {
+			best, most = h, rank
 		}
-		hints[h] = tokens
 	}
-	l.mu.Unlock()
-	sort.SliceStable(hosts, func(i, j int) bool { return hints[hosts[i]] > hints[hosts[j]] })
+	return best
+}
+
+// gathers tells whether this host gathers its region's shares of the quantity.
+func (l *Loans) gathers(q ident.Quantity) bool {
+	return gatherer(q, l.seams.Near()) == l.seams.Self
+}
+
+// lenders returns the hosts to ask: the own region's gatherer, then those of other regions. Hosts that just had
+// nothing come last.
+func (l *Loans) lenders(q ident.Quantity) []ident.Host {
+	var hosts []ident.Host
+	if near := gatherer(q, l.seams.Near()); near != l.seams.Self {
+		hosts = append(hosts, near)
+	}
+	for _, region := range l.seams.Far() {
+		hosts = append(hosts, gatherer(q, region))
+	}
+	now := l.seams.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sort.SliceStable(hosts, func(i, j int) bool {
+		return now.Sub(l.empty[q][hosts[i]]) > hintLife && now.Sub(l.empty[q][hosts[j]]) <= hintLife
+	})
 	return hosts[:min(len(hosts), maxAsks)]
 }
 
@@ -199,7 +242,7 @@
 	}
 	for _, host := range l.seams.Book.Holders(q) {
 		term := max(slotTerm, until.Sub(l.seams.Now())+time.Second)
-		l.ask(ctx, q, host, share.Amount{Burst: share.Unit}, term)
+		l.borrow(ctx, q, host, wire.LoanAsk{Burst: int(share.Unit)}, term)
 		if slot, ok := l.takeSlot(q, until); ok {
 			return slot, nil
 		}
@@ -242,17 +285,17 @@
 	// A lender that loses its seat must have no rate on loan by then. Slots may stay on loan longer,
 	// since their next holder waits for the longest request before it hands them out.
 	last := l.seams.LeaseDeadline(now)
-	if !now.Before(last) || (a.Rate+a.Tokens > 0 && deadline.After(last)) {
+	slots := a.Rate+a.Tokens+a.Extend == 0 && !a.All
+	if !now.Before(last) || (!slots && deadline.After(last)) {
 		return &wire.Frame{LoanGrant: grant}
 	}
-	ask := share.Amount{Rate: int64(a.Rate), Burst: int64(a.Burst), Tokens: int64(a.Tokens)}
 	if !l.seams.Book.Rate(q, func(r *share.Rate) {
-		loan, ok := r.Lend(now, peer, ask, deadline)
+		loan, ok := lendRate(r, now, peer, a, deadline)
 		fill(grant, loan, ok)
 		grant.Spare = int(r.Spare(now))
 	}) {
 		l.seams.Book.Count(q, func(c *share.Count) {
-			loan, ok := c.Lend(now, peer, int(ask.Burst/share.Unit), deadline)
+			loan, ok := c.Lend(now, peer, a.Burst/int(share.Unit), deadline)
 			fill(grant, loan, ok)
 			grant.Spare = c.Spare(now)
 		})
@@ -260,6 +303,16 @@
 	return &wire.Frame{LoanGrant: grant}
 }
 
+func lendRate(r *share.Rate, now time.Time, peer ident.Host, a *wire.LoanAsk, deadline time.Time) (share.Loan, bool) {
+	switch {
+	case a.Extend > 0:
+		return r.Extend(now, peer, int64(a.Extend), deadline)
+	case a.All:
+		return r.LendAll(now, peer, deadline)
+	}
+	return r.Lend(now, peer, share.Amount{Rate: int64(a.Rate), Burst: int64(a.Burst), Tokens: int64(a.Tokens)}, deadline)
+}
+
 func fill(g *wire.LoanGrant, loan share.Loan, ok bool) {
 	if !ok {
 		return
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -67,6 +67,8 @@
 	lag           int
 	peers         map[ident.Host]Peer
 	round         int
+	view          map[string][]ident.Host // live hosts by region
+	viewUntil     time.Time
 
 	controller controller
 }
