Wait in turn for tokens, and lend gathered shares on

Cause of the refusals left: requests that found the gathering host empty for a few milliseconds went 55 ms to other regions and came back refused, while it had tokens again (seen in the state of all hosts at each refusal); waiting requests competed for each token; gathered loans could not be lent on, since they ended before the loan made from them; and lenders counted tokens asked from far away as their own demand. Now requests wait in turn up to 40 ms at the region's gathering host, then ask other regions, then wait up to 150 ms more; loans for steady demand are shorter than gathered ones, are extended rather than taken anew, and leave the lender a bucket of two.

--- a/core/share/rate.go
+++ b/core/share/rate.go
@@ -10,10 +10,11 @@
 const (
 	keepPercent  = 115 // share of its own demand that a lender keeps
 	wantPercent  = 130 // share of its own demand that a borrower asks for
+	keepsPercent = 130 // share of its rate up to which demand counts as within it
 	shortPercent = 110 // share of its own demand below which a borrower asks
-	renewBefore  = 800 * time.Millisecond
-	// leastFragment is the smallest burst that a steady loan brings; smaller buckets refuse by chance.
-	leastFragment = 4 * Unit
+	renewBefore  = 400 * time.Millisecond
+	// keptBurst is what a lender keeps of its bucket, so that it can still admit requests of its own.
+	keptBurst = 2 * Unit
 )
 
 // Rate is one host's share of a rate and burst: a token bucket whose size changes with loans.
@@ -27,6 +28,7 @@
 	demand    meter
 	sequence  int64
 	emptyTill time.Time
+	promised  int64 // tokens that waiting requests will take
 }
 
 // NewRate returns an empty share.
@@ -110,6 +112,29 @@
 	if first {
 		r.demand.add(now, n)
 	}
+	if r.tokens-r.promised < n {
+		return false
+	}
+	r.tokens -= n
+	return true
+}
+
+// Promise keeps the next n millionths for a request that waits for them; false when that would take longer than the
+// patience, or when demand is beyond the rate. Each promise ends with Claim.
+func (r *Rate) Promise(now time.Time, n int64, patience time.Duration) (time.Duration, bool) {
+	r.settle(now)
+	wait := r.Wait(now, n+r.promised)
+	if wait > patience || n+r.promised > r.burst() || !r.Keeps(now) {
+		return 0, false
+	}
+	r.promised += n
+	return wait, true
+}
+
+// Claim takes what was promised; false when the share shrank meanwhile.
+func (r *Rate) Claim(now time.Time, n int64) bool {
+	r.settle(now)
+	r.promised -= n
 	if r.tokens < n {
 		return false
 	}
@@ -125,14 +150,17 @@
 }
 
 // Lend subtracts a loan from the share and returns it; false when there is nothing to spare.
-// An ask with a rate is for steady demand, one without is for tokens at once, which count as demand here.
+// An ask with a rate is for steady demand, and its burst the smallest bucket worth having; one without is for tokens at once; near tells that it came from this
+// region and counts as demand here.
 // The deadline is on this host's clock and must lie after the borrower's by the drift margin.
-func (r *Rate) Lend(now time.Time, peer ident.Host, ask Amount, deadline time.Time) (Loan, bool) {
+func (r *Rate) Lend(now time.Time, peer ident.Host, ask Amount, deadline time.Time, near bool) (Loan, bool) {
 	r.settle(now)
 	if ask.Rate > 0 {
 		return r.lend(peer, r.spareRate(now, ask, deadline), deadline)
 	}
-	r.demand.add(now, ask.Tokens)
+	if near {
+		r.demand.add(now, ask.Tokens)
+	}
 	return r.lend(peer, r.spareTokens(ask, deadline), deadline)
 }
 
@@ -141,7 +169,11 @@
 	r.settle(now)
 	give := r.lendable(deadline)
 	give.Tokens = min(r.tokens, give.Burst)
-	return r.lend(peer, give, deadline)
+	loan, ok := r.lend(peer, give, deadline)
+	if ok {
+		r.lent[len(r.lent)-1].Gathered = true
+	}
+	return loan, ok
 }
 
 func (r *Rate) lend(peer ident.Host, give Amount, deadline time.Time) (Loan, bool) {
@@ -156,15 +188,23 @@
 	return l, true
 }
 
-// Extend moves the deadline of a loan that has not ended; false when there is no such loan.
+// Extend moves the deadline of a loan that has not ended; false when there is no such loan, or when it was lent for
+// steady demand and this host now needs it itself.
 func (r *Rate) Extend(now time.Time, peer ident.Host, sequence int64, deadline time.Time) (Loan, bool) {
 	r.settle(now)
 	for i := range r.lent {
 		l := &r.lent[i]
-		if l.Peer == peer && l.Sequence == sequence {
-			l.Deadline = later(l.Deadline, deadline)
-			return *l, true
+		if l.Peer != peer || l.Sequence != sequence {
+			continue
 		}
+		if !l.Gathered && r.demand.rate(now)*shortPercent/100 > r.rate() {
+			return Loan{}, false
+		}
+		if r.free(deadline).Rate < 0 || r.free(deadline).Burst < 0 {
+			return Loan{}, false
+		}
+		l.Deadline = later(l.Deadline, deadline)
+		return *l, true
 	}
 	return Loan{}, false
 }
@@ -187,8 +227,8 @@
 	return b
 }
 
-// lendable returns what can be lent until the deadline: the base and the loans that last as long, less what is lent.
-func (r *Rate) lendable(deadline time.Time) Amount {
+// free returns the base and the loans that last until the deadline, less what is lent; it may be negative.
+func (r *Rate) free(deadline time.Time) Amount {
 	a := Amount{Rate: r.base.Rate, Burst: r.base.Burst}
 	for _, l := range r.borrowed {
 		if !l.Deadline.Before(deadline) {
@@ -200,11 +240,17 @@
 		a.Rate -= l.Amount.Rate
 		a.Burst -= l.Amount.Burst
 	}
+	return a
+}
+
+// lendable returns what can be lent until the deadline.
+func (r *Rate) lendable(deadline time.Time) Amount {
+	a := r.free(deadline)
 	return Amount{Rate: max(a.Rate, 0), Burst: max(a.Burst, 0)}
 }
 
 func (r *Rate) spareTokens(ask Amount, deadline time.Time) Amount {
-	give := min(ask.Tokens, r.lendable(deadline).Burst, r.tokens)
+	give := min(ask.Tokens, r.lendable(deadline).Burst, r.tokens-r.promised)
 	if give < ask.Tokens {
 		return Amount{}
 	}
@@ -214,8 +260,8 @@
 func (r *Rate) spareRate(now time.Time, ask Amount, deadline time.Time) Amount {
 	own := r.lendable(deadline)
 	spare := min(r.rate()-r.demand.rate(now)*keepPercent/100, own.Rate, ask.Rate)
-	burst := fraction(own.Burst, spare, own.Rate)
-	if burst < leastFragment {
+	burst := min(fraction(own.Burst, spare, own.Rate), own.Burst-keptBurst)
+	if burst < max(ask.Burst, Unit) {
 		return Amount{}
 	}
 	tokens := min(fraction(r.tokens, burst, r.burst()), burst)
@@ -268,12 +314,16 @@
 	return list
 }
 
-// Expiring returns the gathered loans that end before the time, to be extended.
-func (r *Rate) Expiring(now, before time.Time) []Loan {
+// Expiring returns the gathered loans and the other steady loans that end before the times given, to be extended.
+func (r *Rate) Expiring(gathered, steady, now time.Time) []Loan {
 	r.settle(now)
 	var list []Loan
 	for _, l := range r.borrowed {
-		if l.Gathered && l.Deadline.Before(before) {
+		before := steady
+		if l.Gathered {
+			before = gathered
+		}
+		if l.Amount.Rate > 0 && l.Deadline.Before(before) {
 			list = append(list, l)
 		}
 	}
@@ -315,15 +365,20 @@
 	return min(time.Duration(float64(missing)/float64(rate)*float64(time.Second)), time.Second)
 }
 
-// Settled tells whether a smaller base still covers all that is lent.
+// Keeps tells whether demand stays near the rate, so that a request that waits for tokens is likely to get them.
+func (r *Rate) Keeps(now time.Time) bool {
+	return r.demand.rate(now) <= r.rate()*keepsPercent/100
+}
+
+// Settled tells whether a smaller base still covers all that is lent, together with loans that last as long.
 func (r *Rate) Settled(now time.Time, rate, burst int64) bool {
 	r.settle(now)
-	lent := Amount{}
+	last := now
 	for _, l := range r.lent {
-		lent.Rate += l.Amount.Rate
-		lent.Burst += l.Amount.Burst
+		last = later(last, l.Deadline)
 	}
-	return lent.Rate <= rate && lent.Burst <= burst
+	a := r.free(last)
+	return a.Rate-r.base.Rate+rate >= 0 && a.Burst-r.base.Burst+burst >= 0
 }
 
 // Demand returns the estimated demand in millionths a second.
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -118,7 +118,7 @@
 			return
 		}
 		now := f.clock(peer)
-		loan, ok := peer.rate.Lend(now, h.name, ask, now.Add(term+term/lendExtra))
+		loan, ok := peer.rate.Lend(now, h.name, ask, now.Add(term+term/lendExtra), true)
 		if all {
 			loan, ok = peer.rate.LendAll(now, h.name, now.Add(term+term/lendExtra))
 		}
@@ -146,7 +146,7 @@
 	}
 	term := time.Duration(rapid.IntRange(50, 2000).Draw(f.t, "term")) * time.Millisecond
 	asked := f.clock(h)
-	for _, loan := range h.rate.Expiring(asked, asked.Add(time.Hour)) {
+	for _, loan := range h.rate.Expiring(asked.Add(time.Hour), asked.Add(time.Hour), asked) {
 		for _, peer := range f.hosts {
 			if peer.name != loan.Peer {
 				continue
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -256,6 +256,9 @@
 	// Loan to extend in place of a new one, zero for none.
 	Extend int `json:"extend" cbor:"extend"`
 
+	// Longest wait for tokens at the lender, in milliseconds.
+	PatienceMs int `json:"patience-ms" cbor:"patience-ms"`
+
 	// Quantity that is limited.
 	Quantity string `json:"quantity" cbor:"quantity"`
 
--- a/io/host/frames.go
+++ b/io/host/frames.go
@@ -16,14 +16,14 @@
 )
 
 // handle answers one frame from a peer.
-func (h *Host) handle(_ context.Context, peer wire.Hello, f wire.Frame) *wire.Frame {
+func (h *Host) handle(ctx context.Context, peer wire.Hello, f wire.Frame) *wire.Frame {
 	from := ident.Host(peer.Host)
 	now := time.Now()
 	switch {
 	case f.Heartbeat != nil:
 		return h.Member.Heard(peer, f.Heartbeat)
 	case f.LoanAsk != nil:
-		return h.Loans.Lend(from, f.LoanAsk)
+		return h.Loans.Lend(ctx, from, f.LoanAsk)
 	case f.LoanReturn != nil:
 		h.Loans.Returned(from, f.LoanReturn)
 		return &wire.Frame{}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -131,6 +131,7 @@
 	h.Feed = feed.New(h.Store, h.log, feed.Seams{Table: h.onTable, Config: h.onConfig})
 	h.Mesh = link.New(link.Seams{
 		Hello: func() wire.Hello { return h.Member.Hello() }, Handle: h.handle, Opened: h.onLink,
+		Closed: func(host ident.Host) { h.Member.Unlinked(host) },
 		Client: http.DefaultClient, Scheme: "ws", Secret: s.LinkSecret,
 	})
 	h.Member = h.newMember()
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -28,6 +28,8 @@
 	Handle func(ctx context.Context, peer wire.Hello, f wire.Frame) *wire.Frame
 	// Opened is called when a link that this host dialled has opened.
 	Opened func(peer wire.Hello)
+	// Closed is called when a link that this host dialled has closed.
+	Closed func(host ident.Host)
 	// Client dials; its transport holds the TLS settings.
 	Client *http.Client
 	// Scheme is "ws" or "wss".
@@ -213,6 +215,9 @@
 	m.mu.Lock()
 	p.link = nil
 	m.mu.Unlock()
+	if m.seams.Closed != nil {
+		m.seams.Closed(host)
+	}
 }
 
 // ServeHTTP accepts a link from a peer.
--- a/io/loans/forecast.go
+++ b/io/loans/forecast.go
@@ -44,30 +44,34 @@
 	gathers := l.gathers(q)
 	l.seams.Book.Rate(q, func(r *share.Rate) {
 		back = r.GiveBack(now, false, gathers)
-		expiring = r.Expiring(now, now.Add(extendBefore))
+		expiring = r.Expiring(now.Add(extendGathered), now.Add(extendSteady), now)
 		short = r.Shortfall(now)
 	})
 	l.giveBack(ctx, q, back)
+	for _, loan := range expiring {
+		go l.extend(ctx, q, loan)
+	}
 	if gathers {
-		l.gather(ctx, q, expiring)
+		l.gather(ctx, q)
 	}
 	if short > 0 {
-		go l.borrowAhead(ctx, q, short)
+		least := leastFragment
+		if gathers {
+			least = share.Unit
+		}
+		go l.borrowAhead(ctx, q, short, least)
 	}
 }
 
-// gather extends the loans at hand and asks the region's holders for what they still have.
-func (l *Loans) gather(ctx context.Context, q ident.Quantity, expiring []share.Loan) {
-	for _, loan := range expiring {
-		go l.extend(ctx, q, loan)
-	}
+// gather asks the region's holders for what they still have.
+func (l *Loans) gather(ctx context.Context, q ident.Quantity) {
 	near := map[ident.Host]bool{}
 	for _, h := range l.seams.Near() {
 		near[h] = true
 	}
 	for _, host := range l.seams.Book.Holders(q) {
 		if near[host] && l.due(q, host) {
-			go l.borrow(ctx, q, host, wire.LoanAsk{All: true}, steadyTerm)
+			go l.borrow(ctx, q, host, wire.LoanAsk{All: true}, gatherTerm)
 		}
 	}
 }
@@ -86,16 +90,20 @@
 }
 
 func (l *Loans) extend(ctx context.Context, q ident.Quantity, loan share.Loan) {
-	deadline := l.seams.Now().Add(steadyTerm)
-	ask := wire.LoanAsk{Quantity: string(q), Extend: int(loan.Sequence), TermMs: int(steadyTerm / time.Millisecond)}
+	term := steadyTerm
+	if loan.Gathered {
+		term = gatherTerm
+	}
+	deadline := l.seams.Now().Add(term)
+	ask := wire.LoanAsk{Quantity: string(q), Extend: int(loan.Sequence), TermMs: int(term / time.Millisecond)}
 	if g, ok := l.call(ctx, loan.Peer, ask); ok && int64(g.Sequence) == loan.Sequence {
 		l.seams.Book.Rate(q, func(r *share.Rate) { r.Extended(l.seams.Now(), loan.Peer, loan.Sequence, deadline) })
 	}
 }
 
-func (l *Loans) borrowAhead(ctx context.Context, q ident.Quantity, short int64) {
+func (l *Loans) borrowAhead(ctx context.Context, q ident.Quantity, short, least int64) {
 	for _, host := range l.lenders(q) {
-		got := l.borrow(ctx, q, host, wire.LoanAsk{Rate: int(short)}, steadyTerm)
+		got := l.borrow(ctx, q, host, wire.LoanAsk{Rate: int(short), Burst: int(least)}, steadyTerm)
 		short -= got.Rate
 		if short <= 0 || ctx.Err() != nil {
 			return
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -17,21 +18,28 @@
 )
 
 const (
-	steadyTerm   = 2 * time.Second         // length of a loan for forecast demand
-	extendBefore = 1300 * time.Millisecond // remaining time at which a gathered loan is extended
-	gatherPeriod = 600 * time.Millisecond  // time between asks for all that a holder has
-	spotTerm     = 300 * time.Millisecond  // length of a loan of tokens for requests at hand
-	slotTerm     = 10 * time.Second        // length of a loan of slots
-	askTimeout   = 200 * time.Millisecond
-	maxAsks      = 4                     // peers asked in turn for one request
-	hintLife     = 60 * time.Millisecond // time for which an empty peer is not asked first
-	tickPeriod   = 200 * time.Millisecond
-	emptyLeast   = 5 * time.Millisecond
-	emptyMost    = 250 * time.Millisecond
-	driftShare   = 20 // a lender waits longer by one part in so many, and by the fixed margin
-	driftMargin  = 20 * time.Millisecond
+	gatherTerm     = 2400 * time.Millisecond // length of a loan to the host that gathers
+	steadyTerm     = 1200 * time.Millisecond // length of a loan for forecast demand, shorter so that gathered shares can be lent on
+	extendGathered = 1700 * time.Millisecond // remaining time at which a gathered loan is extended
+	extendSteady   = 800 * time.Millisecond  // remaining time at which any other steady loan is extended
+	gatherPeriod   = 600 * time.Millisecond  // time between asks for all that a holder has
+	spotTerm       = 400 * time.Millisecond  // length of a loan of tokens for requests at hand
+	slotTerm       = 10 * time.Second        // length of a loan of slots
+	askTimeout     = 300 * time.Millisecond
+	shortWait      = 40 * time.Millisecond  // wait for own tokens that is better than asking far away
+	longestWait    = 150 * time.Millisecond // longest wait for own tokens after no peer had any
+	maxAsks        = 4                      // peers asked in turn for one request
+	hintLife       = 60 * time.Millisecond  // time for which an empty peer is not asked first
+	tickPeriod     = 200 * time.Millisecond
+	emptyLeast     = 5 * time.Millisecond
+	emptyMost      = 250 * time.Millisecond
+	driftShare     = 20 // a lender waits longer by one part in so many, and by the fixed margin
+	driftMargin    = 20 * time.Millisecond
 )
 
+// leastFragment is the smallest bucket that a host borrows for itself; smaller ones refuse by chance.
+const leastFragment = 32 * share.Unit
+
 // ErrExhausted means that the fleet has nothing left of a limit for now.
 var ErrExhausted = merry.Sentinel("limit exhausted")
 
@@ -89,8 +97,8 @@
 // Unwrap returns ErrExhausted.
 func (r *Refusal) Unwrap() error { return ErrExhausted }
 
-// Take spends n millionths of a limit, asking peers when the own share is short.
-// It returns a Refusal at once when the fleet has nothing.
+// Take spends n millionths of a limit. When the own share is short it waits shortly for tokens that are about to come,
+// asks peers, and waits once more; it returns a Refusal when none of that helps, at once when demand is beyond the rate.
 func (l *Loans) Take(ctx context.Context, q ident.Quantity, n int64) error {
 	taken, empty := false, false
 	now := l.seams.Now()
@@ -104,18 +112,50 @@
 	if !known || empty {
 		return l.refusal(q, n)
 	}
+	if l.await(ctx, q, n, shortWait) {
+		return nil
+	}
 	for _, host := range l.lenders(q) {
-		if l.spot(ctx, q, host, n) {
+		if l.spot(ctx, q, host, n, shortWait) {
 			return nil
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
+	if l.last(ctx, q, n) {
+		return nil
+	}
 	l.noteEmpty(q, n)
 	return l.refusal(q, n)
 }
 
+// last waits once more where the region's shares are, after no peer had anything.
+func (l *Loans) last(ctx context.Context, q ident.Quantity, n int64) bool {
+	near := gatherer(q, l.seams.Near())
+	if near == l.seams.Self {
+		return l.await(ctx, q, n, longestWait)
+	}
+	return l.spot(ctx, q, near, n, longestWait)
+}
+
+// await waits its turn for tokens of the own share, when they come within the patience.
+func (l *Loans) await(ctx context.Context, q ident.Quantity, n int64, patience time.Duration) bool {
+	var wait time.Duration
+	promised := false
+	l.seams.Book.Rate(q, func(r *share.Rate) { wait, promised = r.Promise(l.seams.Now(), n, patience) })
+	if !promised {
+		return false
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	claimed := false
+	l.seams.Book.Rate(q, func(r *share.Rate) { claimed = r.Claim(l.seams.Now(), n) })
+	return claimed
+}
+
 func (l *Loans) refusal(q ident.Quantity, n int64) error {
 	after := time.Second
 	now := l.seams.Now()
@@ -135,9 +175,10 @@
 }
 
 // spot takes what a request needs from one host: a loan of just that, given back spent at once.
-func (l *Loans) spot(ctx context.Context, q ident.Quantity, host ident.Host, n int64) bool {
+func (l *Loans) spot(ctx context.Context, q ident.Quantity, host ident.Host, n int64, patience time.Duration) bool {
 	grant, ok := l.call(ctx, host, wire.LoanAsk{
 		Quantity: string(q), Burst: int(n), Tokens: int(n), TermMs: int(spotTerm / time.Millisecond),
+		PatienceMs: int(patience / time.Millisecond),
 	})
 	if !ok || int64(grant.Tokens) < n {
 		l.noteAnswer(q, host, false)
@@ -275,42 +316,67 @@
 	l.seams.Book.Count(q, func(c *share.Count) { c.Free(s) })
 }
 
-// Lend answers a peer's ask. The loan is subtracted before the answer leaves.
-func (l *Loans) Lend(peer ident.Host, a *wire.LoanAsk) *wire.Frame {
+// Lend answers a peer's ask. The loan is subtracted before the answer leaves. An ask for tokens waits shortly for its
+// turn when the share is empty.
+func (l *Loans) Lend(ctx context.Context, peer ident.Host, a *wire.LoanAsk) *wire.Frame {
 	q := ident.Quantity(a.Quantity)
-	now := l.seams.Now()
-	term := time.Duration(a.TermMs) * time.Millisecond
-	deadline := now.Add(term + term/driftShare + driftMargin)
 	grant := &wire.LoanGrant{Quantity: a.Quantity}
-	// A lender that loses its seat must have no rate on loan by then. Slots may stay on loan longer,
-	// since their next holder waits for the longest request before it hands them out.
-	last := l.seams.LeaseDeadline(now)
-	slots := a.Rate+a.Tokens+a.Extend == 0 && !a.All
-	if !now.Before(last) || (!slots && deadline.After(last)) {
+	near := slices.Contains(l.seams.Near(), peer)
+	if !l.lendRate(q, peer, a, near, grant) {
+		l.lendSlots(q, peer, a, grant)
 		return &wire.Frame{LoanGrant: grant}
 	}
-	if !l.seams.Book.Rate(q, func(r *share.Rate) {
-		loan, ok := lendRate(r, now, peer, a, deadline)
+	if grant.Burst == 0 && a.Tokens > 0 && l.await(ctx, q, int64(a.Tokens), min(time.Duration(a.PatienceMs)*time.Millisecond, longestWait)) {
+		l.Refund(q, int64(a.Tokens))
+		l.lendRate(q, peer, a, false, grant)
+	}
+	return &wire.Frame{LoanGrant: grant}
+}
+
+// deadline returns how long a loan counts against this host: longer than the borrower's by the drift margin.
+// A lender that loses its seat must have no rate on loan by then.
+func (l *Loans) deadline(now time.Time, a *wire.LoanAsk) (time.Time, bool) {
+	term := time.Duration(a.TermMs) * time.Millisecond
+	deadline := now.Add(term + term/driftShare + driftMargin)
+	return deadline, !deadline.After(l.seams.LeaseDeadline(now))
+}
+
+func (l *Loans) lendRate(q ident.Quantity, peer ident.Host, a *wire.LoanAsk, near bool, grant *wire.LoanGrant) bool {
+	now := l.seams.Now()
+	deadline, serving := l.deadline(now, a)
+	return l.seams.Book.Rate(q, func(r *share.Rate) {
+		if !serving {
+			return
+		}
+		loan, ok := lend(r, now, peer, a, deadline, near)
 		fill(grant, loan, ok)
 		grant.Spare = int(r.Spare(now))
-	}) {
-		l.seams.Book.Count(q, func(c *share.Count) {
-			loan, ok := c.Lend(now, peer, a.Burst/int(share.Unit), deadline)
-			fill(grant, loan, ok)
-			grant.Spare = c.Spare(now)
-		})
+	})
+}
+
+// lendSlots lends slots, which may stay on loan longer than the lender's seat, since their next holder waits for the
+// longest request before it hands them out.
+func (l *Loans) lendSlots(q ident.Quantity, peer ident.Host, a *wire.LoanAsk, grant *wire.LoanGrant) {
+	now := l.seams.Now()
+	deadline, _ := l.deadline(now, a)
+	if !now.Before(l.seams.LeaseDeadline(now)) {
+		return
 	}
-	return &wire.Frame{LoanGrant: grant}
+	l.seams.Book.Count(q, func(c *share.Count) {
+		loan, ok := c.Lend(now, peer, a.Burst/int(share.Unit), deadline)
+		fill(grant, loan, ok)
+		grant.Spare = c.Spare(now)
+	})
 }
 
-func lendRate(r *share.Rate, now time.Time, peer ident.Host, a *wire.LoanAsk, deadline time.Time) (share.Loan, bool) {
+func lend(r *share.Rate, now time.Time, peer ident.Host, a *wire.LoanAsk, deadline time.Time, near bool) (share.Loan, bool) {
 	switch {
 	case a.Extend > 0:
 		return r.Extend(now, peer, int64(a.Extend), deadline)
 	case a.All:
 		return r.LendAll(now, peer, deadline)
 	}
-	return r.Lend(now, peer, share.Amount{Rate: int64(a.Rate), Burst: int64(a.Burst), Tokens: int64(a.Tokens)}, deadline)
+	return r.Lend(now, peer, share.Amount{Rate: int64(a.Rate), Burst: int64(a.Burst), Tokens: int64(a.Tokens)}, deadline, near)
 }
 
 func fill(g *wire.LoanGrant, loan share.Loan, ok bool) {
--- a/io/loans/loans_test.go
+++ b/io/loans/loans_test.go
@@ -27,6 +27,7 @@
 	farDelay    = 27500 * time.Microsecond // 55 ms there and back
 	warm        = 3 * time.Second
 	teamCount   = 4
+	reassign    = 8 * time.Second         // from a kill to the new seat table
 	silence     = 1500 * time.Millisecond // after which a dead host is not asked
 )
 
@@ -88,7 +89,7 @@
 		var answer *wire.Frame
 		switch {
 		case f.LoanAsk != nil:
-			answer = n.hosts[peer].loans.Lend(name(from), f.LoanAsk)
+			answer = n.hosts[peer].loans.Lend(ctx, name(from), f.LoanAsk)
 		case f.LoanReturn != nil:
 			n.hosts[peer].loans.Returned(name(from), f.LoanReturn)
 			answer = &wire.Frame{}
@@ -125,6 +126,20 @@
 	return n
 }
 
+// reassign gives the dead host's partitions to the others, as the controller does once its serving lease is over.
+func (n *network) reassign() {
+	t := tableOf(hostCount)
+	t.Generation = 2
+	for i := range t.Partitions {
+		if t.Partitions[i].Owner == string(name(hostCount-1)) {
+			t.Partitions[i] = wire.Partition{Owner: string(name(i / hostCount % (hostCount - 1))), Since: 2}
+		}
+	}
+	for _, h := range n.hosts[:hostCount-1] {
+		h.book.SetTable(time.Now(), t, 100)
+	}
+}
+
 func tableOf(hosts int) wire.SeatTable {
 	t := seat.NewTable()
 	t.Generation = 1
@@ -161,6 +176,7 @@
 	offered, within, wrong int
 	waited                 time.Duration
 	over                   float64 // most tokens taken beyond the limit
+	bySecond               [runTime/time.Second + 1]int
 }
 
 // scenario is one load.
@@ -174,7 +190,7 @@
 const (
 	teamRate  = 100.0
 	teamBurst = 20.0
-	runTime   = 20 * time.Second
+	runTime   = 30 * time.Second
 )
 
 func limitsOf() []share.Limit {
@@ -203,6 +219,7 @@
 				defer n.mu.Unlock()
 				n.died[hostCount-1] = time.Now()
 			})
+			time.AfterFunc(s.killAt+reassign, func() { n.reassign() })
 		}
 		var wait sync.WaitGroup
 		for team := range teamCount {
@@ -252,6 +269,7 @@
 				out.within++
 				if err != nil {
 					out.wrong++
+					out.bySecond[sent.Sub(start)/time.Second]++
 				}
 			}
 		})
@@ -308,6 +326,13 @@
 		waited += c.waited
 		offered += c.offered
 	}
+	bySecond := [runTime/time.Second + 1]int{}
+	for _, c := range scores {
+		for i, n := range c.bySecond {
+			bySecond[i] += n
+		}
+	}
+	t.Logf("%-16s in-rate refusals by second: %v", s.name, bySecond)
 	t.Logf("%-16s static=%-5t in-rate refusals: worst team %.2f%%, best team %.2f%%, mean wait %s", s.name, static,
 		100*worst, 100*best, waited/time.Duration(max(offered, 1)))
 }
--- a/io/member/view.go
+++ b/io/member/view.go
@@ -58,3 +58,13 @@
 	}
 	return list
 }
+
+// Unlinked notes that the link to a host closed: it counts as live again once it is heard.
+func (m *Member) Unlinked(host ident.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[host]
+	p.Heard = time.Time{}
+	m.peers[host] = p
+	m.viewUntil = time.Time{}
+}
