Even out rates between regions in proportion to demand

Cause: lenders kept 115% of their own demand and borrowers asked for 130% of theirs; at 90% load there are 111% to share, so loans went back and forth. Now an ask states demand and rate, and the lender passes on what makes both equally well off; differences under a twentieth stay.

--- a/core/share/rate.go
+++ b/core/share/rate.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	keepPercent  = 115 // share of its own demand that a lender keeps
-	wantPercent  = 130 // share of its own demand that a borrower asks for
+	wantPercent  = 160 // share of its own demand above which a borrower gives loans back
+	slackParts   = 20  // differences below one part in so many of the rate are left as they are
 	keepsPercent = 130 // share of its rate up to which demand counts as within it
-	shortPercent = 110 // share of its own demand below which a borrower asks
+	shortPercent = 125 // share of its own demand below which a borrower asks
 	renewBefore  = 400 * time.Millisecond
 	// keptBurst is what a lender keeps of its bucket, so that it can still admit requests of its own.
 	keptBurst = 2 * Unit
@@ -149,13 +149,20 @@
 	r.trim()
 }
 
+// Ask is what a peer asks for: tokens at once, or a part of the rate for steady demand.
+type Ask struct {
+	Tokens int64 // millionths, for an ask for tokens
+	Demand int64 // the asker's demand in millionths a second, for an ask for rate
+	Held   int64 // the rate that the asker holds
+	Least  int64 // smallest burst worth having
+}
+
 // Lend subtracts a loan from the share and returns it; false when there is nothing to spare.
-// An ask with a rate is for steady demand, and its burst the smallest bucket worth having; one without is for tokens at once; near tells that it came from this
-// region and counts as demand here.
+// Tokens asked for from near, this region, count as demand here.
 // The deadline is on this host's clock and must lie after the borrower's by the drift margin.
-func (r *Rate) Lend(now time.Time, peer ident.Host, ask Amount, deadline time.Time, near bool) (Loan, bool) {
+func (r *Rate) Lend(now time.Time, peer ident.Host, ask Ask, deadline time.Time, near bool) (Loan, bool) {
 	r.settle(now)
-	if ask.Rate > 0 {
+	if ask.Demand > 0 {
 		return r.lend(peer, r.spareRate(now, ask, deadline), deadline)
 	}
 	if near {
@@ -188,25 +195,33 @@
 	return l, true
 }
 
-// Extend moves the deadline of a loan that has not ended; false when there is no such loan, or when it was lent for
-// steady demand and this host now needs it itself.
-func (r *Rate) Extend(now time.Time, peer ident.Host, sequence int64, deadline time.Time) (Loan, bool) {
+// Extend moves the deadline of a loan that has not ended; false when there is no such loan, when what it was made
+// from ends before, or when it was lent for steady demand and this host has become clearly shorter than the borrower.
+func (r *Rate) Extend(now time.Time, peer ident.Host, sequence int64, ask Ask, deadline time.Time) (Loan, bool) {
 	r.settle(now)
-	for i := range r.lent {
-		l := &r.lent[i]
-		if l.Peer != peer || l.Sequence != sequence {
-			continue
-		}
-		if !l.Gathered && r.demand.rate(now)*shortPercent/100 > r.rate() {
-			return Loan{}, false
-		}
-		if r.free(deadline).Rate < 0 || r.free(deadline).Burst < 0 {
-			return Loan{}, false
-		}
-		l.Deadline = later(l.Deadline, deadline)
-		return *l, true
+	i := slices.IndexFunc(r.lent, func(l Loan) bool { return l.Peer == peer && l.Sequence == sequence })
+	if i < 0 {
+		return Loan{}, false
 	}
-	return Loan{}, false
+	l := &r.lent[i]
+	if !l.Gathered && balance(r.rate(), r.demand.rate(now), ask.Held, ask.Demand) < -r.rate()/slackParts {
+		return Loan{}, false
+	}
+	if free := r.free(deadline); free.Rate < 0 || free.Burst < 0 {
+		return Loan{}, false
+	}
+	l.Deadline = later(l.Deadline, deadline)
+	return *l, true
+}
+
+// balance returns the rate that one host must pass to another so that both have the same rate for their demand.
+func balance(held, demand, otherHeld, otherDemand int64) int64 {
+	all := demand + otherDemand
+	if all <= 0 {
+		return 0
+	}
+	part := float64(otherDemand) / float64(all)
+	return int64(float64(held+otherHeld)*part) - otherHeld
 }
 
 // Extended moves the deadline of a borrowed loan, after its lender has agreed. A loan that has ended stays ended.
@@ -249,7 +264,7 @@
 	return Amount{Rate: max(a.Rate, 0), Burst: max(a.Burst, 0)}
 }
 
-func (r *Rate) spareTokens(ask Amount, deadline time.Time) Amount {
+func (r *Rate) spareTokens(ask Ask, deadline time.Time) Amount {
 	give := min(ask.Tokens, r.lendable(deadline).Burst, r.tokens-r.promised)
 	if give < ask.Tokens {
 		return Amount{}
@@ -257,11 +272,12 @@
 	return Amount{Burst: give, Tokens: give}
 }
 
-func (r *Rate) spareRate(now time.Time, ask Amount, deadline time.Time) Amount {
+// spareRate returns what evens the two hosts' rates for their demands, when that is worth a loan.
+func (r *Rate) spareRate(now time.Time, ask Ask, deadline time.Time) Amount {
 	own := r.lendable(deadline)
-	spare := min(r.rate()-r.demand.rate(now)*keepPercent/100, own.Rate, ask.Rate)
+	spare := min(balance(r.rate(), r.demand.rate(now), ask.Held, ask.Demand), own.Rate)
 	burst := min(fraction(own.Burst, spare, own.Rate), own.Burst-keptBurst)
-	if burst < max(ask.Burst, Unit) {
+	if spare < r.rate()/slackParts || burst <= 0 || burst < ask.Least {
 		return Amount{}
 	}
 	tokens := min(fraction(r.tokens, burst, r.burst()), burst)
@@ -330,16 +346,13 @@
 	return list
 }
 
-// Shortfall returns the rate to ask peers for so that forecast demand is met, zero when the share suffices.
+// Short tells whether forecast demand exceeds the share, and returns the ask that states both.
 // Loans that end soon do not count.
-func (r *Rate) Shortfall(now time.Time) int64 {
+func (r *Rate) Short(now time.Time) (Ask, bool) {
 	r.settle(now)
 	lasting := r.lendable(now.Add(renewBefore)).Rate
 	demand := r.demand.rate(now)
-	if demand*shortPercent/100 <= lasting {
-		return 0
-	}
-	return demand*wantPercent/100 - lasting
+	return Ask{Demand: demand, Held: lasting}, demand*shortPercent/100 > lasting
 }
 
 // Spare returns the tokens at hand, as a hint for peers.
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -106,9 +106,9 @@
 		return
 	}
 	term := time.Duration(rapid.IntRange(50, 2000).Draw(f.t, "term")) * time.Millisecond
-	ask := share.Amount{Tokens: int64(rapid.IntRange(1, 5).Draw(f.t, "tokens")) * rateUnit}
+	ask := share.Ask{Tokens: int64(rapid.IntRange(1, 5).Draw(f.t, "tokens")) * rateUnit}
 	if rapid.Bool().Draw(f.t, "steady") {
-		ask = share.Amount{Rate: int64(rapid.IntRange(1, 200).Draw(f.t, "ask rate")) * rateUnit}
+		ask = share.Ask{Demand: int64(rapid.IntRange(1, 200).Draw(f.t, "demand")) * rateUnit}
 	}
 	all := rapid.IntRange(0, 3).Draw(f.t, "all") == 0
 	deadline := f.clock(h).Add(term)
@@ -153,7 +153,7 @@
 			}
 			f.send(func() {
 				now := f.clock(peer)
-				if _, ok := peer.rate.Extend(now, h.name, loan.Sequence, now.Add(term+term/lendExtra)); !ok || f.now < peer.paused {
+				if _, ok := peer.rate.Extend(now, h.name, loan.Sequence, share.Ask{}, now.Add(term+term/lendExtra)); !ok || f.now < peer.paused {
 					return
 				}
 				f.send(func() { h.rate.Extended(f.clock(h), peer.name, loan.Sequence, asked.Add(term)) })
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -250,21 +250,25 @@
 	// True when the asker gathers the region's shares and wants all of it.
 	All bool `json:"all" cbor:"all"`
 
-	// Burst wanted, in millionths.
+	// Smallest burst worth having, or slots wanted, in millionths.
 	Burst int `json:"burst" cbor:"burst"`
 
+	// Demand at the asker, in millionths a second; zero when it asks for tokens or
+	// slots only.
+	Demand int `json:"demand" cbor:"demand"`
+
 	// Loan to extend in place of a new one, zero for none.
 	Extend int `json:"extend" cbor:"extend"`
 
+	// Rate that the asker holds, in millionths a second.
+	Held int `json:"held" cbor:"held"`
+
 	// Longest wait for tokens at the lender, in milliseconds.
 	PatienceMs int `json:"patience-ms" cbor:"patience-ms"`
 
 	// Quantity that is limited.
 	Quantity string `json:"quantity" cbor:"quantity"`
 
-	// Rate wanted, in millionths a second.
-	Rate int `json:"rate" cbor:"rate"`
-
 	// Length of the loan from the asking, in milliseconds.
 	TermMs int `json:"term-ms" cbor:"term-ms"`
 
--- a/io/loans/forecast.go
+++ b/io/loans/forecast.go
@@ -39,27 +39,28 @@
 // to exceed the share.
 func (l *Loans) balance(ctx context.Context, q ident.Quantity) {
 	var back, expiring []share.Loan
-	var short int64
+	var ask share.Ask
+	var short bool
 	now := l.seams.Now()
 	gathers := l.gathers(q)
 	l.seams.Book.Rate(q, func(r *share.Rate) {
 		back = r.GiveBack(now, false, gathers)
 		expiring = r.Expiring(now.Add(extendGathered), now.Add(extendSteady), now)
-		short = r.Shortfall(now)
+		ask, short = r.Short(now)
 	})
 	l.giveBack(ctx, q, back)
 	for _, loan := range expiring {
-		go l.extend(ctx, q, loan)
+		go l.extend(ctx, q, loan, ask)
 	}
 	if gathers {
 		l.gather(ctx, q)
 	}
-	if short > 0 {
-		least := leastFragment
+	if short {
+		ask.Least = leastFragment
 		if gathers {
-			least = share.Unit
+			ask.Least = leastGathered
 		}
-		go l.borrowAhead(ctx, q, short, least)
+		go l.borrowAhead(ctx, q, ask)
 	}
 }
 
@@ -89,23 +90,27 @@
 	return true
 }
 
-func (l *Loans) extend(ctx context.Context, q ident.Quantity, loan share.Loan) {
+func (l *Loans) extend(ctx context.Context, q ident.Quantity, loan share.Loan, state share.Ask) {
 	term := steadyTerm
 	if loan.Gathered {
 		term = gatherTerm
 	}
 	deadline := l.seams.Now().Add(term)
-	ask := wire.LoanAsk{Quantity: string(q), Extend: int(loan.Sequence), TermMs: int(term / time.Millisecond)}
+	ask := wire.LoanAsk{
+		Quantity: string(q), Extend: int(loan.Sequence), TermMs: int(term / time.Millisecond),
+		Demand: int(state.Demand), Held: int(state.Held),
+	}
 	if g, ok := l.call(ctx, loan.Peer, ask); ok && int64(g.Sequence) == loan.Sequence {
 		l.seams.Book.Rate(q, func(r *share.Rate) { r.Extended(l.seams.Now(), loan.Peer, loan.Sequence, deadline) })
 	}
 }
 
-func (l *Loans) borrowAhead(ctx context.Context, q ident.Quantity, short, least int64) {
+// borrowAhead asks the peers in turn to even out their rates with this host's.
+func (l *Loans) borrowAhead(ctx context.Context, q ident.Quantity, ask share.Ask) {
 	for _, host := range l.lenders(q) {
-		got := l.borrow(ctx, q, host, wire.LoanAsk{Rate: int(short), Burst: int(least)}, steadyTerm)
-		short -= got.Rate
-		if short <= 0 || ctx.Err() != nil {
+		got := l.borrow(ctx, q, host, wire.LoanAsk{Demand: int(ask.Demand), Held: int(ask.Held), Burst: int(ask.Least)}, steadyTerm)
+		ask.Held += got.Rate
+		if ctx.Err() != nil {
 			return
 		}
 	}
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -37,8 +37,12 @@
 	driftMargin    = 20 * time.Millisecond
 )
 
-// leastFragment is the smallest bucket that a host borrows for itself; smaller ones refuse by chance.
-const leastFragment = 32 * share.Unit
+const (
+	// leastFragment is the smallest bucket that a host borrows for itself; smaller ones refuse by chance.
+	leastFragment = 32 * share.Unit
+	// leastGathered is the smallest addition to the bucket of a host that gathers.
+	leastGathered = share.Unit / 10
+)
 
 // ErrExhausted means that the fleet has nothing left of a limit for now.
 var ErrExhausted = merry.Sentinel("limit exhausted")
@@ -370,13 +374,14 @@
 }
 
 func lend(r *share.Rate, now time.Time, peer ident.Host, a *wire.LoanAsk, deadline time.Time, near bool) (share.Loan, bool) {
+	ask := share.Ask{Tokens: int64(a.Tokens), Demand: int64(a.Demand), Held: int64(a.Held), Least: int64(a.Burst)}
 	switch {
 	case a.Extend > 0:
-		return r.Extend(now, peer, int64(a.Extend), deadline)
+		return r.Extend(now, peer, int64(a.Extend), ask, deadline)
 	case a.All:
 		return r.LendAll(now, peer, deadline)
 	}
-	return r.Lend(now, peer, share.Amount{Rate: int64(a.Rate), Burst: int64(a.Burst), Tokens: int64(a.Tokens)}, deadline, near)
+	return r.Lend(now, peer, ask, deadline, near)
 }
 
 func fill(g *wire.LoanGrant, loan share.Loan, ok bool) {
