Test keys and configuration under failure

Withdrawn keys on open connections, operators racing, a write whose answer is lost, a watch that lags, a store outage longer than the isolation limit with a host cut off, a restart in place: all pass as built.

--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -16,6 +16,7 @@
 	Down       bool          // refuse every call and cut the watches
 	Delay      time.Duration // answer late
 	LoseAnswer int           // carry out so many transactions and drop the answer
+	LoseKey    string        // only of transactions that write this key, when it is set
 	HoldWatch  bool          // send no watch events until it is false again
 }
 
@@ -108,10 +109,6 @@
 	case "/v3/kv/range":
 		handle(w, r, s.readRange)
 	case "/v3/kv/txn":
-		if s.loseAnswer() {
-			handle(discard{header: http.Header{}}, r, s.txn)
-			panic(http.ErrAbortHandler)
-		}
 		handle(w, r, s.txn)
 	case "/v3/lease/grant":
 		handle(w, r, s.grant)
@@ -124,22 +121,20 @@
 	}
 }
 
-func (s *Store) loseAnswer() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// loses tells whether the answer to a transaction gets lost.
+func (s *Store) loses(q txnQuery) bool {
 	if s.faults.LoseAnswer == 0 {
 		return false
 	}
-	s.faults.LoseAnswer--
-	return true
+	for _, op := range q.Success {
+		if s.faults.LoseKey == "" || (op.Put != nil && string(op.Put.Key) == s.faults.LoseKey) {
+			s.faults.LoseAnswer--
+			return true
+		}
+	}
+	return false
 }
 
-type discard struct{ header http.Header }
-
-func (d discard) Header() http.Header         { return d.header }
-func (d discard) Write(b []byte) (int, error) { return len(b), nil }
-func (d discard) WriteHeader(int)             {}
-
 func handle[Q any](w http.ResponseWriter, r *http.Request, f func(Q) any) {
 	var request Q
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
@@ -147,7 +142,11 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(f(request))
+	answer := f(request)
+	if answer == nil {
+		panic(http.ErrAbortHandler)
+	}
+	_ = json.NewEncoder(w).Encode(answer)
 }
 
 type rangeQuery struct {
@@ -218,6 +217,9 @@
 		ops = q.Failure
 	}
 	responses := s.apply(ops)
+	if s.loses(q) {
+		return nil
+	}
 	return map[string]any{"header": s.head(), "succeeded": ok, "responses": responses}
 }
 
