--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -33,6 +33,7 @@
 	Truncate  bool          // break answers off half way
 	Crossed   bool          // answer with another request's attempt header
 	AnswerLen int           // bytes of an answer, zero for a short one
+	OnStart   func()        `json:"-"` // called when a request starts
 }
 
 // Seen is what a backend server has recorded.
@@ -132,6 +133,9 @@
 		b.seen.Shed++
 		return b.act, false
 	}
+	if b.act.OnStart != nil {
+		b.act.OnStart()
+	}
 	b.running++
 	b.seen.Requests++
 	b.seen.Most = max(b.seen.Most, b.running)
--- /dev/null
+++ b/io/host/limit_test.go
@@ -0,0 +1,139 @@
+package host_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayshift/core/wire"
+	"jayshift/internal/fake"
+	"jayshift/internal/fleet"
+)
+
+// ledger is the exact central limiter over what backend servers started, in the order of the clock.
+// TestLimits* fail when any window carries more than rate times its length plus the burst.
+type ledger struct {
+	mu                  sync.Mutex
+	rate, burst, tokens float64
+	at                  time.Time
+	over                float64
+	admitted            int
+}
+
+func newLedger(rate, burst float64) *ledger {
+	return &ledger{rate: rate, burst: burst, tokens: burst, at: time.Now()}
+}
+
+func (l *ledger) admit(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d := now.Sub(l.at); d > 0 {
+		l.tokens = min(l.burst, l.tokens+l.rate*d.Seconds())
+		l.at = now
+	}
+	l.tokens--
+	l.admitted++
+	l.over = max(l.over, -l.tokens)
+}
+
+// flood sends as many requests as the entries take, through all of them, until the time is over.
+func flood(f *fleet.Fleet, key string, length time.Duration, during func()) (refused *atomic.Int64) {
+	refused = &atomic.Int64{}
+	var wait sync.WaitGroup
+	end := time.Now().Add(length)
+	for i := range 12 {
+		wait.Go(func() {
+			client := &http.Client{}
+			for time.Now().Before(end) {
+				entries := f.Entries()
+				if read(key, "/whistle/read/1").send(client, entries[i%len(entries)]).status == http.StatusTooManyRequests {
+					refused.Add(1)
+				}
+				time.Sleep(3 * time.Millisecond)
+			}
+		})
+	}
+	wait.Go(during)
+	wait.Wait()
+	return refused
+}
+
+// TestLimitsHold floods a team's rate, a shift's cap and a region's capacity, through a host that is killed and
+// started again, a cut between regions and a store outage, and holds what backend servers started against the ledger.
+func TestLimitsHold(t *testing.T) {
+	t.Parallel()
+	const rate, burst = 60.0, 24.0
+	for name, limit := range map[string]wire.Resource{
+		"team":  {Kind: "team", Name: "north", Team: &wire.Team{Rate: rate, Burst: burst}},
+		"shift": {Kind: "shift", Name: "strike", Shift: &wire.Shift{Services: []string{"whistle"}, Cap: rate, CapBurst: burst}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			o := one("v1")
+			l := newLedger(rate, burst)
+			var armed atomic.Bool
+			o.Services[0].Act = fake.Behaviour{Slots: 20, Latency: time.Millisecond, OnStart: func() {
+				if armed.Load() {
+					l.admit(time.Now())
+				}
+			}}
+			f, key, _ := start(t, o)
+			is.NoErr(f.Apply(context.Background(), []wire.Resource{limit}))
+			time.Sleep(500 * time.Millisecond)
+			l.at = time.Now()
+			armed.Store(true)
+			link := f.Hosts[2].Addresses().Link
+			refused := flood(f, key, 14*time.Second, func() {
+				time.Sleep(2 * time.Second)
+				f.Store.SetFaults(fake.Faults{Down: true})
+				time.Sleep(2 * time.Second)
+				f.Hosts[0].Mesh.SetCut("entry-2", true)
+				f.Hosts[1].Mesh.SetCut("entry-1", true)
+				time.Sleep(time.Second)
+				f.Store.SetFaults(fake.Faults{})
+				f.Hosts[0].Mesh.SetCut("entry-2", false)
+				f.Hosts[1].Mesh.SetCut("entry-1", false)
+				f.Hosts[2].Kill()
+				time.Sleep(time.Second)
+				if h, err := f.StartHost(2, link); err == nil {
+					f.Hosts[2] = h
+				}
+			})
+			t.Logf("%s: %d started, %d refused, at most %.1f beyond the limit", name, l.admitted, refused.Load(), l.over)
+			is.True(refused.Load() > 0)
+			is.True(l.admitted > 200) // the limit was used
+			is.True(l.over <= 0)
+		})
+	}
+}
+
+// TestRegionIsNotOverloaded limits a region below what its callers offer: the rest goes to other regions.
+func TestRegionIsNotOverloaded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const rate, burst = 40.0, 10.0
+	o := one("v1")
+	o.Services[0].Act = fake.Behaviour{Slots: 20, Latency: time.Millisecond}
+	f, key, _ := start(t, o)
+	is.NoErr(f.Apply(context.Background(), []wire.Resource{{Kind: "region", Name: "region-1", Region: &wire.Region{Rate: rate, Burst: burst}}}))
+	l := newLedger(rate, burst)
+	limited := f.Backends[fleet.BackendName("whistle", "v1", 0)]
+	limited.Set(func(b *fake.Behaviour) { b.OnStart = func() { l.admit(time.Now()) } })
+	flood(f, key, 4*time.Second, func() {})
+	elsewhere := 0
+	for name, b := range f.Backends {
+		if name != limited.Name {
+			elsewhere += b.Seen().Requests
+		}
+	}
+	t.Logf("region-1 started %d, the others %d, at most %.1f beyond the limit", l.admitted, elsewhere, l.over)
+	is.True(l.over <= 0)
+	is.True(l.admitted > 20)
+	is.True(elsewhere > l.admitted)
+}
--- a/io/member/controller.go
+++ b/io/member/controller.go
@@ -20,6 +20,7 @@
 	lease    int64
 	deadline time.Time
 	watcher  *seat.Watcher
+	free     bool // no host held the lease when this host last renewed
 }
 
 // lead does the controller's work if this host holds the controller lease or can take it.
@@ -116,8 +117,7 @@
 
 func (m *Member) takeController(ctx context.Context) bool {
 	c := &m.controller
-	_, found, err := m.seams.Store.Txn(ctx, nil, nil, []string{feed.LeaseKey})
-	if err != nil || len(found) > 0 {
+	if !c.free {
 		return false
 	}
 	sent := time.Now()
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -353,11 +354,12 @@
 	}
 	sent := time.Now()
 	writes := []store.Write{{Key: feed.RenewalKey(renewal.Host), Value: value}}
-	revision, found, err := m.seams.Store.Txn(ctx, compares, writes, []string{feed.TableKey, feed.HeadKey})
+	revision, found, err := m.seams.Store.Txn(ctx, compares, writes, []string{feed.TableKey, feed.HeadKey, feed.LeaseKey})
 	m.adopt(found)
 	if err != nil {
 		return m.settleRenewal(ctx, err)
 	}
+	m.controller.free = !slices.ContainsFunc(found, func(kv store.KV) bool { return string(kv.Key) == feed.LeaseKey })
 	m.setOwn(revision)
 	lease.Renewed(sent)
 	m.checkHead(found)
