--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -58,6 +58,7 @@
 	Shift   ident.Shift
 	Outcome string
 	Took    time.Duration
+	Limit   time.Duration // the service's latency target, zero for none
 }
 
 // Entry answers callers.
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -69,3 +69,16 @@
 	w.WriteHeader(p.status)
 	_ = json.NewEncoder(w).Encode(body)
 }
+
+// callersFault lists the outcomes that do not count towards a service level, since the caller caused them.
+var callersFault = map[string]bool{
+	kindKey: true, kindShift: true, kindTeamRate: true, kindPoison: true, kindBadRequest: true, kindAbandoned: true, kindInProgress: true,
+}
+
+// Counts tells whether the sample counts towards the service level.
+func (s Sample) Counts() bool { return !callersFault[s.Outcome] }
+
+// Bad tells whether the request was not answered, or later than the service's latency target when it states one.
+func (s Sample) Bad() bool {
+	return s.Outcome != kindAnswered || (s.Limit > 0 && s.Took > s.Limit)
+}
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -43,6 +43,7 @@
 		outcome = kindAnswered
 	}
 	sample := Sample{Service: q.service.Name, Team: q.team, Outcome: outcome, Took: time.Since(q.started)}
+	sample.Limit = time.Duration(q.service.TargetLatencyMs * float64(time.Millisecond))
 	if len(q.shifts) > 0 {
 		sample.Shift = q.shifts[0].Name
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -13,6 +13,7 @@
 	"github.com/go-kratos/kratos/v2"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"jayshift/core/burn"
 	"jayshift/core/config"
 	"jayshift/core/ident"
 	"jayshift/core/once"
@@ -65,6 +66,7 @@
 	evidence *trial.Evidence
 	gate     *trial.Gate
 	meter    *meter.Meter
+	burn     *burn.Tracker
 }
 
 // Addresses are where a started host listens.
@@ -126,6 +128,7 @@
 	h.Book = share.NewBook(self)
 	h.Pool = target.New()
 	h.poison = poison.New()
+	h.burn = burn.New()
 	h.evidence = trial.NewEvidence()
 	h.gate = trial.NewGate()
 	h.Feed = feed.New(h.Store, h.log, feed.Seams{Table: h.onTable, Config: h.onConfig})
@@ -178,10 +181,18 @@
 		Snapshot: h.Feed.Snapshot, Table: h.Member.Table, Peers: h.Member.Peers,
 		Serving: func(now time.Time) bool { return h.Feed.Loaded() && h.Member.Lease().Serving(now) },
 		Loans:   h.Loans, Pool: h.Pool, Runs: h.runs, Poison: h.poison, Gate: h.gate, Evidence: h.evidence,
-		Strike: h.strike, Count: h.meter.Count,
+		Strike: h.strike, Count: h.count,
 	})
 }
 
+// count takes in the end of one request for the metrics and the burn.
+func (h *Host) count(s entry.Sample) {
+	h.meter.Count(s)
+	if s.Counts() {
+		h.burn.Add(time.Now(), burn.Series{Service: string(s.Service), Team: string(s.Team), Shift: string(s.Shift)}, s.Bad())
+	}
+}
+
 func (h *Host) onTable(t wire.SeatTable, revision ident.Revision) { h.Member.SetTable(t, revision) }
 
 func (h *Host) onConfig(s *config.Snapshot) {
@@ -326,7 +337,7 @@
 			return err
 		}
 	}
-	return nil
+	return h.meter.Burn(h.burn)
 }
 
 func (h *Host) servingLeft() float64 {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,6 +14,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
+	"jayshift/core/burn"
 	"jayshift/io/entry"
 )
 
@@ -59,6 +61,33 @@
 	))
 }
 
+// Burn exports the good and bad requests of each window, read when metrics are collected.
+func (m *Meter) Burn(tracker *burn.Tracker) error {
+	total, err := m.meter.Int64ObservableGauge("jayshift.burn.requests", metric.WithDescription("Requests that count towards the service level, by window."))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	bad, err := m.meter.Int64ObservableGauge("jayshift.burn.bad", metric.WithDescription("Bad requests among these."))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	_, err = m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		now := time.Now()
+		for _, window := range []time.Duration{burn.ShortWindow, burn.LongWindow} {
+			for s, c := range tracker.Window(now, window) {
+				labels := metric.WithAttributes(
+					attribute.String("service", s.Service), attribute.String("team", s.Team),
+					attribute.String("shift", s.Shift), attribute.String("window", window.String()),
+				)
+				o.ObserveInt64(total, c.Total, labels)
+				o.ObserveInt64(bad, c.Bad, labels)
+			}
+		}
+		return nil
+	}, total, bad)
+	return merry.Wrap(err)
+}
+
 // Gauge exports a value that is read when metrics are collected.
 func (m *Meter) Gauge(name, help string, read func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(help),
