--- a/cmd/jayshift/main.go
+++ b/cmd/jayshift/main.go
@@ -11,6 +11,7 @@
 type commands struct {
 	Operator  string `help:"Operator address of an entry host." default:"127.0.0.1:7101" env:"JAYSHIFT_OPERATOR"`
 	TokenFile string `help:"File with the operator token." type:"existingfile" env:"JAYSHIFT_TOKEN_FILE"`
+	Authority string `help:"PEM file of the authorities to check the host's certificate against; turns TLS on." type:"existingfile" env:"JAYSHIFT_AUTHORITY"`
 
 	Entry  entryCommand  `cmd:"" help:"Run an entry host."`
 	Apply  applyCommand  `cmd:"" help:"Write resources from files, all or none, and wait until they are in force."`
--- a/cmd/jayshift/operate.go
+++ b/cmd/jayshift/operate.go
@@ -12,6 +12,7 @@
 
 	"jayshift/core/config"
 	"jayshift/core/wire"
+	"jayshift/io/certs"
 	"jayshift/io/client"
 	"jayshift/io/files"
 	"jayshift/io/moves"
@@ -20,12 +21,24 @@
 // errReverted means that a move was taken back.
 var errReverted = merry.Sentinel("move was taken back")
 
+// client returns a client of the operator address, over TLS when an authority is named.
 func (c *commands) client() (*client.Client, error) {
-	if c.TokenFile == "" {
-		return client.New(c.Operator, ""), nil
+	token := ""
+	if c.TokenFile != "" {
+		data, err := os.ReadFile(c.TokenFile)
+		if err != nil {
+			return nil, merry.Wrap(err)
+		}
+		token = strings.TrimSpace(string(data))
+	}
+	if c.Authority == "" {
+		return client.New(c.Operator, token), nil
+	}
+	roots, err := certs.Roots(c.Authority)
+	if err != nil {
+		return nil, err
 	}
-	token, err := os.ReadFile(c.TokenFile)
-	return client.New(c.Operator, strings.TrimSpace(string(token))), merry.Wrap(err)
+	return client.NewTLS(c.Operator, token, roots), nil
 }
 
 // withClient runs f with a client until it ends or the user interrupts.
--- a/io/client/client.go
+++ b/io/client/client.go
@@ -5,6 +5,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -32,6 +34,12 @@
 	return &Client{base: "http://" + address, token: token, http: &http.Client{}}
 }
 
+// NewTLS returns a client that checks the host's certificate against the authorities.
+func NewTLS(address, token string, roots *x509.CertPool) *Client {
+	transport := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots}}
+	return &Client{base: "https://" + address, token: token, http: &http.Client{Transport: transport}}
+}
+
 func (c *Client) open(ctx context.Context, method, path string, body any) (*http.Response, error) {
 	var reader io.Reader
 	if body != nil {
--- a/io/host/config_test.go
+++ b/io/host/config_test.go
@@ -104,9 +104,14 @@
 	f.Store.SetFaults(fake.Faults{HoldWatch: true})
 	applied, err := f.Operator().Apply(ctx, []wire.Resource{{Kind: "team", Name: "south", Team: &wire.Team{Rate: 10, Burst: 10}}})
 	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(ctx, inForceLimit)
+	defer cancel()
 	is.NoErr(f.InForce(ctx, int(applied.Revision)))
 }
 
+// inForceLimit is the stated time within which a change is in force everywhere.
+const inForceLimit = 16 * time.Second
+
 // TestStoreOutage keeps a connected fleet serving while the store is out for longer than the isolation limit,
 // and stops a host that is cut off from both the store and the others.
 func TestStoreOutage(t *testing.T) {
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -24,6 +24,7 @@
 	"jayshift/core/trial"
 	"jayshift/core/wire"
 	"jayshift/io/admin"
+	"jayshift/io/certs"
 	"jayshift/io/entry"
 	"jayshift/io/feed"
 	"jayshift/io/link"
@@ -67,6 +68,7 @@
 	gate     *trial.Gate
 	meter    *meter.Meter
 	burn     *burn.Tracker
+	certs    *certs.Certs
 }
 
 // Addresses are where a started host listens.
@@ -86,7 +88,12 @@
 	if h.meter, err = meter.New(); err != nil {
 		return nil, err
 	}
-	h.build(listeners)
+	if s.Certificate != "" {
+		if h.certs, err = certs.New(s.Certificate, s.CertificateKey, s.Authority); err != nil {
+			return nil, err
+		}
+	}
+	h.build()
 	if err := h.gauges(); err != nil {
 		return nil, err
 	}
@@ -122,7 +129,7 @@
 }
 
 // build constructs the parts; each knows the others only through its seams.
-func (h *Host) build(map[string]net.Listener) {
+func (h *Host) build() {
 	s := h.settings
 	self := ident.Host(s.Name)
 	h.Book = share.NewBook(self)
@@ -135,7 +142,7 @@
 	h.Mesh = link.New(link.Seams{
 		Hello: func() wire.Hello { return h.Member.Hello() }, Handle: h.handle, Opened: h.onLink,
 		Closed: func(host ident.Host) { h.Member.Unlinked(host) },
-		Client: http.DefaultClient, Scheme: "ws", Secret: s.LinkSecret,
+		Client: h.linkClient, Scheme: h.linkScheme(), Secret: s.LinkSecret,
 	})
 	h.Member = h.newMember()
 	h.Loans = loans.New(loans.Seams{
@@ -153,6 +160,21 @@
 	h.Entry = h.newEntry()
 }
 
+func (h *Host) linkScheme() string {
+	if h.certs != nil {
+		return "wss"
+	}
+	return "ws"
+}
+
+// linkClient returns the client that dials another host, with the TLS files as they are now.
+func (h *Host) linkClient() *http.Client {
+	if h.certs == nil {
+		return http.DefaultClient
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: h.certs.Client()}}
+}
+
 func (h *Host) newMember() *member.Member {
 	s := h.settings
 	hello := wire.Hello{
@@ -211,8 +233,8 @@
 	health.Handle("GET /metrics", h.meter)
 	health.HandleFunc("GET /healthz", h.healthz)
 	h.servers = []*khttp.Server{
-		server(listeners["caller"], h.Entry), server(listeners["operator"], operator),
-		server(listeners["link"], h.linkMux()), server(listeners["admin"], health),
+		h.server(listeners["caller"], h.Entry), h.server(listeners["operator"], operator),
+		h.server(listeners["link"], h.linkMux()), server(listeners["admin"], health),
 	}
 	h.app = kratos.New(
 		kratos.Name("jayshift"), kratos.Logger(kratosLog{h.log}),
@@ -228,9 +250,17 @@
 	return mux
 }
 
+// server wraps a handler in the HTTP transport, with TLS when the settings name its files.
+func (h *Host) server(l net.Listener, handler http.Handler) *khttp.Server {
+	if h.certs == nil {
+		return server(l, handler)
+	}
+	return server(l, handler, khttp.TLSConfig(h.certs.Server()))
+}
+
 // server wraps a handler in the HTTP transport. The handler gets paths as they came, not through the router.
-func server(l net.Listener, handler http.Handler) *khttp.Server {
-	s := khttp.NewServer(khttp.Listener(l), khttp.Timeout(0))
+func server(l net.Listener, handler http.Handler, options ...khttp.ServerOption) *khttp.Server {
+	s := khttp.NewServer(append(options, khttp.Listener(l), khttp.Timeout(0))...)
 	s.Handler = handler
 	return s
 }
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -30,8 +30,8 @@
 	Opened func(peer wire.Hello)
 	// Closed is called when a link that this host dialled has closed.
 	Closed func(host ident.Host)
-	// Client dials; its transport holds the TLS settings.
-	Client *http.Client
+	// Client returns the client that dials; its transport holds the TLS settings.
+	Client func() *http.Client
 	// Scheme is "ws" or "wss".
 	Scheme string
 	// Secret is what hosts show each other, empty for none.
@@ -155,7 +155,7 @@
 		header.Set("Authorization", "Bearer "+m.seams.Secret)
 	}
 	socket, response, err := websocket.Dial(ctx, m.seams.Scheme+"://"+address+"/v1/link",
-		&websocket.DialOptions{HTTPClient: m.seams.Client, HTTPHeader: header})
+		&websocket.DialOptions{HTTPClient: m.seams.Client(), HTTPHeader: header})
 	if err != nil {
 		return nil, err
 	}
