Wait for slots in one line for each service, and choose between different servers

Cause of the refusals at 70% of the slots: a borrowed slot stayed with its borrower until the next tick, three requests long; and each waiting request tried every server by itself each 20 ms, so that the asks to peers took the processor. Cause of the long tail at low load: both of two random servers were often the same slow one.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -20,6 +20,8 @@
 	Version  ident.Version // wanted version, empty for any
 	// Spare returns how many slots of the server this host could take without asking a peer.
 	Spare func(ident.BackendServer) int
+	// Empty tells servers whose slots were just found to be taken everywhere.
+	Empty func(ident.BackendServer) bool
 	// Skip tells servers that the request has tried.
 	Skip func(ident.BackendServer) bool
 	// Room tells whether a region takes more requests, and the link there more bytes.
@@ -39,38 +41,61 @@
 	ownZone = iota
 	ownRegion
 	farRegion
-	distances
+)
+
+// Costs that a choice adds to a server's own, in seconds.
+const (
+	zoneCost   = 0.001  // to another availability zone and back
+	borrowCost = 0.0015 // to ask a peer for a slot
 )
 
 // Pick returns the server for a request, and false when none may take it.
-// Servers with a slot at hand in the own region come first, then servers in the region whose slot must be borrowed,
-// then other regions that have room. Within a group the better of two random ones is taken, so that hosts with
-// equal, lagging hints do not all choose the same.
+// Servers of the own region come first: the cheaper of two random ones with a slot at hand, unless one of two whose
+// slot must be borrowed is cheaper still. Other regions that have room follow. Two random ones are compared, not all,
+// so that hosts with equal, lagging hints do not all choose the same.
 func Pick(now time.Time, servers []*Server, q Query) (Choice, bool) {
-	var atHand, atPeers [distances][]*Server
+	var near, far groups
 	for _, s := range servers {
 		if !eligible(now, s, q) {
 			continue
 		}
-		d := distance(s, q.Place)
-		if q.Spare(s.Name) > 0 {
-			atHand[d] = append(atHand[d], s)
-		} else {
-			atPeers[d] = append(atPeers[d], s)
+		if distance(s, q.Place) != farRegion {
+			near.add(s, q)
+			continue
 		}
-	}
-	near := [][]*Server{atHand[ownZone], atHand[ownRegion], append(atPeers[ownZone], atPeers[ownRegion]...)}
-	for i, group := range near {
-		if s := better(now, group, q); s != nil {
-			return Choice{Server: s, Borrow: i == 2}, true
+		if q.Room(s.Region) {
+			far.add(s, q)
 		}
 	}
-	for i, group := range [][]*Server{atHand[farRegion], atPeers[farRegion]} {
-		if s := better(now, withRoom(group, q), q); s != nil {
-			return Choice{Server: s, Borrow: i == 1}, true
-		}
+	if c, ok := near.best(now, q); ok {
+		return c, true
 	}
-	return Choice{}, false
+	return far.best(now, q)
+}
+
+// groups tells servers with a slot at hand from those whose slot must be borrowed.
+type groups struct{ atHand, atPeers []*Server }
+
+func (g *groups) add(s *Server, q Query) {
+	switch {
+	case q.Spare(s.Name) > 0:
+		g.atHand = append(g.atHand, s)
+	case !q.Empty(s.Name):
+		g.atPeers = append(g.atPeers, s)
+	}
+}
+
+// best returns the cheaper choice of both groups.
+func (g *groups) best(now time.Time, q Query) (Choice, bool) {
+	own, ownCost := better(now, g.atHand, q)
+	other, otherCost := better(now, g.atPeers, q)
+	if own == nil && other == nil {
+		return Choice{}, false
+	}
+	if own == nil || (other != nil && otherCost+borrowCost < ownCost) {
+		return Choice{Server: other, Borrow: true}, true
+	}
+	return Choice{Server: own}, true
 }
 
 func eligible(now time.Time, s *Server, q Query) bool {
@@ -95,34 +120,19 @@
 	return farRegion
 }
 
-func withRoom(group []*Server, q Query) []*Server {
-	var list []*Server
-	for _, s := range group {
-		if q.Room(s.Region) {
-			list = append(list, s)
-		}
-	}
-	return list
-}
-
-// better returns the cheaper of two random servers of the group, nil when it is empty.
-func better(now time.Time, group []*Server, q Query) *Server {
+// better returns the cheaper of two different random servers of the group with its cost, nil when the group is empty.
+func better(now time.Time, group []*Server, q Query) (*Server, float64) {
 	if len(group) == 0 {
-		return nil
+		return nil, 0
 	}
-	a := group[q.Random(len(group))]
-	if len(group) == 1 {
-		return a
+	i := q.Random(len(group))
+	a, b := group[i], group[i]
+	if len(group) > 1 {
+		b = group[(i+1+q.Random(len(group)-1))%len(group)]
 	}
-	b := group[q.Random(len(group))]
-	a.mu.Lock()
-	costA := a.cost(now)
-	a.mu.Unlock()
-	b.mu.Lock()
-	costB := b.cost(now)
-	b.mu.Unlock()
+	costA, costB := a.costFrom(now, q.Place), b.costFrom(now, q.Place)
 	if costB < costA {
-		return b
+		return b, costB
 	}
-	return a
+	return a, costA
 }
--- a/core/route/server.go
+++ b/core/route/server.go
@@ -172,12 +172,17 @@
 	return s.inFlight < int(s.window)
 }
 
-// cost returns how long a new request would take there, relative to other servers: lower is better.
-func (s *Server) cost(now time.Time) float64 {
+// costFrom returns how long a new request would take there from the place, in seconds, as far as is known.
+func (s *Server) costFrom(now time.Time, p Place) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	busy := float64(s.inFlight)
 	if now.Sub(s.report.At) < reportLifetime {
 		busy = max(busy, float64(s.report.InFlight))
 	}
-	slots := float64(max(s.Slots, 1))
-	return (s.latency + 0.001) * (1 + busy/slots)
+	cost := (s.latency + 0.001) * (1 + busy/float64(max(s.Slots, 1)))
+	if s.Zone != p.Zone {
+		cost += zoneCost
+	}
+	return cost
 }
--- a/core/share/count.go
+++ b/core/share/count.go
@@ -15,6 +15,8 @@
 	lent     []Loan
 	borrowed []borrowedSlots
 	sequence int64
+
+	emptyTill time.Time
 }
 
 type borrowedSlots struct {
@@ -73,21 +75,34 @@
 	return Slot{}, false
 }
 
-// Free gives a slot back.
-func (c *Count) Free(s Slot) {
+// Free gives a slot back. A borrowed slot that no request uses any more ends its loan, which is returned.
+func (c *Count) Free(s Slot) (Loan, bool) {
 	if s.lender == "" {
 		c.used = max(c.used-1, 0)
-		return
+		return Loan{}, false
 	}
 	for i := range c.borrowed {
 		b := &c.borrowed[i]
-		if b.Peer == s.lender && b.Sequence == s.sequence {
-			b.used--
-			return
+		if b.Peer != s.lender || b.Sequence != s.sequence {
+			continue
+		}
+		b.used--
+		if b.used > 0 {
+			return Loan{}, false
 		}
+		loan := b.Loan
+		c.borrowed = slices.Delete(c.borrowed, i, i+1)
+		return loan, true
 	}
+	return Loan{}, false
 }
 
+// SetEmpty notes that no peer had a slot to lend, so that none is asked before the time.
+func (c *Count) SetEmpty(until time.Time) { c.emptyTill = until }
+
+// Empty returns the time before which asking peers is pointless.
+func (c *Count) Empty() time.Time { return c.emptyTill }
+
 // Lend subtracts up to so many free slots; false when none is free.
 func (c *Count) Lend(now time.Time, peer ident.Host, slots int, deadline time.Time) (Loan, bool) {
 	c.settle(now)
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -13,6 +13,7 @@
 	"jayshift/core/config"
 	"jayshift/core/ident"
 	"jayshift/core/once"
+	"jayshift/core/queue"
 	"jayshift/core/retry"
 	"jayshift/core/route"
 	"jayshift/core/share"
@@ -22,7 +23,7 @@
 
 const (
 	queueWait       = 500 * time.Millisecond // longest wait for a slot
-	queuePoll       = 20 * time.Millisecond
+	queuePoll       = 4 * time.Millisecond
 	busyAfter       = 500 * time.Millisecond
 	unavailAfter    = 1 * time.Second
 	leastAttempt    = 50 * time.Millisecond // time below which a deadline is not split over attempts
@@ -102,32 +103,66 @@
 	line := e.queue(q.service.Name)
 	if line.Length() == 0 {
 		if c, g, ok := e.tryAcquire(q); ok {
+			line.Served(time.Now())
 			return c, g, nil
 		}
 	}
-	limit := time.Now().Add(min(queueWait, time.Until(q.deadline)))
+	patience := min(queueWait, time.Until(q.deadline))
+	ticket, ok := line.Join(time.Now(), q.team, patience)
+	if !ok {
+		return route.Choice{}, grant{}, busyProblem()
+	}
+	e.pump(q.service.Name, line)
+	limit := time.NewTimer(patience)
+	defer limit.Stop()
 	for {
-		ticket, ok := line.Join(q.team)
-		if !ok {
-			return route.Choice{}, grant{}, busyProblem()
-		}
-		poll := time.NewTimer(queuePoll)
 		select {
 		case <-ticket.Ready:
-		case <-poll.C:
+		case <-limit.C:
 			line.Leave(ticket)
+			return route.Choice{}, grant{}, e.noServer(q)
 		case <-q.ctx.Done():
 			line.Leave(ticket)
 			return route.Choice{}, grant{}, busyProblem()
 		}
-		poll.Stop()
 		if c, g, ok := e.tryAcquire(q); ok {
+			line.Served(time.Now())
+			line.Wake() // there may be more
 			return c, g, nil
 		}
-		if !time.Now().Before(limit) {
-			return route.Choice{}, grant{}, e.noServer(q)
+		line.Rejoin(ticket)
+	}
+}
+
+// pump lets one waiting request try every few milliseconds, since slots may come free at peers, until none waits.
+func (e *Entry) pump(name ident.Service, line *queue.Queue) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.pumping[name] {
+		return
+	}
+	e.pumping[name] = true
+	go func() {
+		ticker := time.NewTicker(queuePoll)
+		defer ticker.Stop()
+		for range ticker.C {
+			if e.idle(name, line) {
+				return
+			}
+			line.Wake()
 		}
+	}()
+}
+
+// idle ends the pump when no request waits.
+func (e *Entry) idle(name ident.Service, line *queue.Queue) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if line.Length() > 0 {
+		return false
 	}
+	e.pumping[name] = false
+	return true
 }
 
 func busyProblem() *problem {
@@ -194,6 +229,7 @@
 		Snapshot: q.snapshot, Place: e.seams.Place, Version: q.version,
 		Spare:  func(b ident.BackendServer) int { return e.seams.Loans.Spare(share.Server(b)) },
 		Skip:   func(b ident.BackendServer) bool { return refused[b] || q.tried[b] },
+		Empty:  func(b ident.BackendServer) bool { return e.seams.Loans.SlotsEmpty(share.Server(b)) },
 		Room:   func(r ident.Region) bool { return !e.linkFull(r) },
 		Random: rand.IntN,
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -70,11 +70,12 @@
 	mu      sync.Mutex
 	queues  map[ident.Service]*queue.Queue
 	budgets map[ident.Service]*retry.Budget
+	pumping map[ident.Service]bool
 }
 
 // New returns an entry.
 func New(seams Seams) *Entry {
-	return &Entry{seams: seams, queues: map[ident.Service]*queue.Queue{}, budgets: map[ident.Service]*retry.Budget{}}
+	return &Entry{seams: seams, queues: map[ident.Service]*queue.Queue{}, budgets: map[ident.Service]*retry.Budget{}, pumping: map[ident.Service]bool{}}
 }
 
 // ServeHTTP answers one caller's request.
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -31,6 +31,7 @@
 	maxAsks        = 4                      // peers asked in turn for one request
 	hintLife       = 60 * time.Millisecond  // time for which an empty peer is not asked first
 	tickPeriod     = 200 * time.Millisecond
+	slotPause      = 15 * time.Millisecond // time for which a server without free slots is not asked for again
 	emptyLeast     = 5 * time.Millisecond
 	emptyMost      = 250 * time.Millisecond
 	driftShare     = 20 // a lender waits longer by one part in so many, and by the fixed margin
@@ -285,6 +286,9 @@
 	if slot, ok := l.takeSlot(q, until); ok {
 		return slot, nil
 	}
+	if l.SlotsEmpty(q) {
+		return share.Slot{}, &Refusal{Quantity: q, After: emptyMost}
+	}
 	for _, host := range l.seams.Book.Holders(q) {
 		term := max(slotTerm, until.Sub(l.seams.Now())+time.Second)
 		l.borrow(ctx, q, host, wire.LoanAsk{Burst: int(share.Unit)}, term)
@@ -292,9 +296,19 @@
 			return slot, nil
 		}
 	}
+	empty := l.seams.Now().Add(slotPause)
+	l.seams.Book.Count(q, func(c *share.Count) { c.SetEmpty(empty) })
 	return share.Slot{}, &Refusal{Quantity: q, After: emptyMost}
 }
 
+// SlotsEmpty tells whether a peer was just asked for these slots and had none.
+func (l *Loans) SlotsEmpty(q ident.Quantity) bool {
+	empty := false
+	now := l.seams.Now()
+	l.seams.Book.Count(q, func(c *share.Count) { empty = now.Before(c.Empty()) })
+	return empty
+}
+
 func (l *Loans) takeSlot(q ident.Quantity, until time.Time) (slot share.Slot, ok bool) {
 	l.seams.Book.Count(q, func(c *share.Count) { slot, ok = c.Take(l.seams.Now(), until) })
 	return slot, ok
@@ -315,9 +329,14 @@
 	return l.seams.Book.Rate(q, func(*share.Rate) {}) || l.seams.Book.Count(q, func(*share.Count) {})
 }
 
-// FreeSlot gives a slot back.
+// FreeSlot gives a slot back, and a borrowed one to its lender at once.
 func (l *Loans) FreeSlot(q ident.Quantity, s share.Slot) {
-	l.seams.Book.Count(q, func(c *share.Count) { c.Free(s) })
+	var loan share.Loan
+	ended := false
+	l.seams.Book.Count(q, func(c *share.Count) { loan, ended = c.Free(s) })
+	if ended {
+		l.giveBack(context.Background(), q, []share.Loan{loan})
+	}
 }
 
 // Lend answers a peer's ask. The loan is subtracted before the answer leaves. An ask for tokens waits shortly for its
