Lend promised tokens to the request that waited for them

Cause: counting the reasons showed that almost all refusals came after a request had waited its turn at the gathering host: its token was put back and lent anew, and the second step refused it because of the promises to others. Claiming and lending are one step now. Ruled out, by the same counts: waiting 500 instead of 150 ms (no change), and demand in one region beyond its rate (the demand of all regions is weighed now; alone it changed nothing that stands out of the noise). Shares without demand are no longer gathered, and a host that gathers asks its region's holders directly when it runs out.

--- a/core/share/book.go
+++ b/core/share/book.go
@@ -166,6 +166,7 @@
 		r = NewRate(now)
 		s.rates[l.Quantity] = r
 	}
+	r.SetLimit(l.Rate)
 	// A limit created while this host already held the partitions has not been spent by anyone else.
 	full := !ok && part.held > 0 && l.Created > part.newest
 	r.SetBase(now, fraction(l.Rate, int64(part.held), int64(part.all)), fraction(l.Burst, int64(part.held), int64(part.all)), full)
--- a/core/share/rate.go
+++ b/core/share/rate.go
@@ -11,8 +11,12 @@
 	wantPercent  = 160 // share of its own demand above which a borrower gives loans back
 	slackParts   = 20  // differences below one part in so many of the rate are left as they are
 	keepsPercent = 130 // share of its rate up to which demand counts as within it
+	keepsFleet   = 115 // share of the limit up to which the demand of all regions counts as within it
+	heardLife    = 1500 * time.Millisecond
 	shortPercent = 125 // share of its own demand below which a borrower asks
 	renewBefore  = 400 * time.Millisecond
+	// idleDemand is the demand below which shares are left where they are, in millionths a second.
+	idleDemand = Unit / 10_000
 	// keptBurst is what a lender keeps of its bucket, so that it can still admit requests of its own.
 	keptBurst = 2 * Unit
 )
@@ -29,6 +33,14 @@
 	sequence  int64
 	emptyTill time.Time
 	promised  int64 // tokens that waiting requests will take
+	limit     int64 // rate of the whole limit
+	heard     map[ident.Host]heardDemand
+}
+
+// heardDemand is the demand that a host elsewhere stated.
+type heardDemand struct {
+	demand int64
+	at     time.Time
 }
 
 // NewRate returns an empty share.
@@ -171,6 +183,16 @@
 	return r.lend(peer, r.spareTokens(ask, deadline), deadline)
 }
 
+// LendPromised lends what was promised to a peer's request; false when the share shrank meanwhile.
+func (r *Rate) LendPromised(now time.Time, peer ident.Host, n int64, deadline time.Time) (Loan, bool) {
+	r.settle(now)
+	r.promised -= n
+	if r.tokens < n || r.lendable(deadline).Burst < n {
+		return Loan{}, false
+	}
+	return r.lend(peer, Amount{Burst: n, Tokens: n}, deadline)
+}
+
 // LendAll lends everything that is not on loan yet to the host that gathers the region's shares.
 func (r *Rate) LendAll(now time.Time, peer ident.Host, deadline time.Time) (Loan, bool) {
 	r.settle(now)
@@ -378,11 +400,39 @@
 	return min(time.Duration(float64(missing)/float64(rate)*float64(time.Second)), time.Second)
 }
 
-// Keeps tells whether demand stays near the rate, so that a request that waits for tokens is likely to get them.
+// Keeps tells whether demand stays within the limit, so that a request that waits for tokens is likely to get them.
+// Demand in other regions counts as far as it was heard of lately; where it was not, this share is weighed alone.
 func (r *Rate) Keeps(now time.Time) bool {
-	return r.demand.rate(now) <= r.rate()*keepsPercent/100
+	own := r.demand.rate(now)
+	if own <= r.rate()*keepsPercent/100 {
+		return true
+	}
+	all, heard := own, false
+	for _, h := range r.heard {
+		if now.Sub(h.at) < heardLife {
+			all += h.demand
+			heard = true
+		}
+	}
+	return heard && all <= r.limit*keepsFleet/100
 }
 
+// Heard notes the demand at a host that gathers the shares of another region.
+func (r *Rate) Heard(now time.Time, host ident.Host, demand int64) {
+	if r.heard == nil {
+		r.heard = map[ident.Host]heardDemand{}
+	}
+	r.heard[host] = heardDemand{demand: demand, at: now}
+	for h, d := range r.heard {
+		if now.Sub(d.at) > heardLife {
+			delete(r.heard, h)
+		}
+	}
+}
+
+// SetLimit states the whole limit's rate.
+func (r *Rate) SetLimit(rate int64) { r.limit = rate }
+
 // Settled tells whether a smaller base still covers all that is lent, together with loans that last as long.
 func (r *Rate) Settled(now time.Time, rate, burst int64) bool {
 	r.settle(now)
@@ -394,5 +444,8 @@
 	return a.Rate-r.base.Rate+rate >= 0 && a.Burst-r.base.Burst+burst >= 0
 }
 
+// Idle tells whether there was no demand for a while.
+func (r *Rate) Idle(now time.Time) bool { return r.demand.rate(now) < idleDemand }
+
 // Demand returns the estimated demand in millionths a second.
 func (r *Rate) Demand(now time.Time) int64 { return r.demand.rate(now) }
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -281,6 +281,9 @@
 	// Burst lent, in millionths.
 	Burst int `json:"burst" cbor:"burst"`
 
+	// Demand at the lender, in millionths a second.
+	Demand int `json:"demand" cbor:"demand"`
+
 	// Quantity that is limited.
 	Quantity string `json:"quantity" cbor:"quantity"`
 
--- a/io/loans/forecast.go
+++ b/io/loans/forecast.go
@@ -40,15 +40,19 @@
 func (l *Loans) balance(ctx context.Context, q ident.Quantity) {
 	var back, expiring []share.Loan
 	var ask share.Ask
-	var short bool
+	var short, idle bool
 	now := l.seams.Now()
 	gathers := l.gathers(q)
 	l.seams.Book.Rate(q, func(r *share.Rate) {
 		back = r.GiveBack(now, false, gathers)
 		expiring = r.Expiring(now.Add(extendGathered), now.Add(extendSteady), now)
 		ask, short = r.Short(now)
+		idle = r.Idle(now)
 	})
 	l.giveBack(ctx, q, back)
+	if idle {
+		return
+	}
 	for _, loan := range expiring {
 		go l.extend(ctx, q, loan, ask)
 	}
@@ -66,12 +70,8 @@
 
 // gather asks the region's holders for what they still have.
 func (l *Loans) gather(ctx context.Context, q ident.Quantity) {
-	near := map[ident.Host]bool{}
-	for _, h := range l.seams.Near() {
-		near[h] = true
-	}
-	for _, host := range l.seams.Book.Holders(q) {
-		if near[host] && l.due(q, host) {
+	for _, host := range l.nearHolders(q) {
+		if l.due(q, host) {
 			go l.borrow(ctx, q, host, wire.LoanAsk{All: true}, gatherTerm)
 		}
 	}
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -23,11 +23,11 @@
 	extendGathered = 1700 * time.Millisecond // remaining time at which a gathered loan is extended
 	extendSteady   = 800 * time.Millisecond  // remaining time at which any other steady loan is extended
 	gatherPeriod   = 600 * time.Millisecond  // time between asks for all that a holder has
-	spotTerm       = 400 * time.Millisecond  // length of a loan of tokens for requests at hand
+	spotTerm       = 500 * time.Millisecond  // length of a loan of tokens for requests at hand
 	slotTerm       = 10 * time.Second        // length of a loan of slots
-	askTimeout     = 300 * time.Millisecond
+	askTimeout     = 400 * time.Millisecond
 	shortWait      = 40 * time.Millisecond  // wait for own tokens that is better than asking far away
-	longestWait    = 150 * time.Millisecond // longest wait for own tokens after no peer had any
+	longestWait    = 250 * time.Millisecond // longest wait for own tokens after no peer had any
 	maxAsks        = 4                      // peers asked in turn for one request
 	hintLife       = 60 * time.Millisecond  // time for which an empty peer is not asked first
 	tickPeriod     = 200 * time.Millisecond
@@ -146,6 +146,16 @@
 
 // await waits its turn for tokens of the own share, when they come within the patience.
 func (l *Loans) await(ctx context.Context, q ident.Quantity, n int64, patience time.Duration) bool {
+	if !l.waitTurn(ctx, q, n, patience) {
+		return false
+	}
+	claimed := false
+	l.seams.Book.Rate(q, func(r *share.Rate) { claimed = r.Claim(l.seams.Now(), n) })
+	return claimed
+}
+
+// waitTurn waits until promised tokens have come; false when they would not come within the patience.
+func (l *Loans) waitTurn(ctx context.Context, q ident.Quantity, n int64, patience time.Duration) bool {
 	var wait time.Duration
 	promised := false
 	l.seams.Book.Rate(q, func(r *share.Rate) { wait, promised = r.Promise(l.seams.Now(), n, patience) })
@@ -156,9 +166,23 @@
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	claimed := false
-	l.seams.Book.Rate(q, func(r *share.Rate) { claimed = r.Claim(l.seams.Now(), n) })
-	return claimed
+	return true
+}
+
+// lendLater lends tokens to a peer's request once its turn has come.
+func (l *Loans) lendLater(ctx context.Context, q ident.Quantity, peer ident.Host, a *wire.LoanAsk, grant *wire.LoanGrant) {
+	patience := min(time.Duration(a.PatienceMs)*time.Millisecond, longestWait)
+	if !l.waitTurn(ctx, q, int64(a.Tokens), patience) {
+		return
+	}
+	now := l.seams.Now()
+	deadline, serving := l.deadline(now, a)
+	l.seams.Book.Rate(q, func(r *share.Rate) {
+		loan, ok := r.LendPromised(now, peer, int64(a.Tokens), deadline)
+		if serving {
+			fill(grant, loan, ok)
+		}
+	})
 }
 
 func (l *Loans) refusal(q ident.Quantity, n int64) error {
@@ -208,9 +232,18 @@
 	if err != nil || answer.LoanGrant == nil || ctx.Err() != nil {
 		return nil, false
 	}
+	l.hear(host, answer.LoanGrant)
 	return answer.LoanGrant, true
 }
 
+// hear notes the demand that a host of another region states.
+func (l *Loans) hear(host ident.Host, g *wire.LoanGrant) {
+	if slices.Contains(l.seams.Near(), host) {
+		return
+	}
+	l.seams.Book.Rate(ident.Quantity(g.Quantity), func(r *share.Rate) { r.Heard(l.seams.Now(), host, int64(g.Demand)) })
+}
+
 // borrow asks one host and adds the loan to the share; the deadline counts from the asking.
 func (l *Loans) borrow(ctx context.Context, q ident.Quantity, host ident.Host, ask wire.LoanAsk, term time.Duration) share.Amount {
 	ask.Quantity = string(q)
@@ -262,12 +295,14 @@
 	return gatherer(q, l.seams.Near()) == l.seams.Self
 }
 
-// lenders returns the hosts to ask: the own region's gatherer, then those of other regions. Hosts that just had
-// nothing come last.
+// lenders returns the hosts to ask: the own region's gatherer, or the region's holders when this host gathers, then
+// the gatherers of other regions. Hosts that just had nothing come last.
 func (l *Loans) lenders(q ident.Quantity) []ident.Host {
 	var hosts []ident.Host
 	if near := gatherer(q, l.seams.Near()); near != l.seams.Self {
 		hosts = append(hosts, near)
+	} else {
+		hosts = l.nearHolders(q)
 	}
 	for _, region := range l.seams.Far() {
 		hosts = append(hosts, gatherer(q, region))
@@ -281,6 +316,12 @@
 	return hosts[:min(len(hosts), maxAsks)]
 }
 
+// nearHolders returns the live hosts of this region that hold partitions of the quantity, this host not included.
+func (l *Loans) nearHolders(q ident.Quantity) []ident.Host {
+	near := l.seams.Near()
+	return slices.DeleteFunc(l.seams.Book.Holders(q), func(h ident.Host) bool { return !slices.Contains(near, h) })
+}
+
 // Slot takes one slot of a number of slots for a request that ends by the time given.
 func (l *Loans) Slot(ctx context.Context, q ident.Quantity, until time.Time) (share.Slot, error) {
 	if slot, ok := l.takeSlot(q, until); ok {
@@ -349,9 +390,8 @@
 		l.lendSlots(q, peer, a, grant)
 		return &wire.Frame{LoanGrant: grant}
 	}
-	if grant.Burst == 0 && a.Tokens > 0 && l.await(ctx, q, int64(a.Tokens), min(time.Duration(a.PatienceMs)*time.Millisecond, longestWait)) {
-		l.Refund(q, int64(a.Tokens))
-		l.lendRate(q, peer, a, false, grant)
+	if grant.Burst == 0 && a.Tokens > 0 {
+		l.lendLater(ctx, q, peer, a, grant)
 	}
 	return &wire.Frame{LoanGrant: grant}
 }
@@ -374,6 +414,7 @@
 		loan, ok := lend(r, now, peer, a, deadline, near)
 		fill(grant, loan, ok)
 		grant.Spare = int(r.Spare(now))
+		grant.Demand = int(r.Demand(now))
 	})
 }
 
