Charge a request just before it is sent, and check the serving lease again there

Cause: a request took its tokens, then waited for a slot or for the record of its run; requests held up together arrived together, beyond the limit. Ruled out: tokens of the woken host (its shares are empty) and requests that were on their way when it was paused (at most 3). Now a charge is good for 20 ms, the transit that the buckets allow for; a request that waited longer is charged again, and each attempt needs its own.

--- a/cmd/jayshift/path_test.go
+++ b/cmd/jayshift/path_test.go
@@ -11,11 +11,16 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"jayshift/core/wire"
+	"jayshift/internal/fake"
+	"jayshift/io/client"
 )
 
 const patience = 30 * time.Second
@@ -26,7 +31,7 @@
 	out bytes.Buffer
 }
 
-func build(t *testing.T) (jayshift, fake string) {
+func build(t *testing.T) (jayshift, standIn string) {
 	t.Helper()
 	dir := t.TempDir()
 	for _, name := range []string{"jayshift", "fake"} {
@@ -99,67 +104,185 @@
 	return path
 }
 
+// entry is a started entry host.
+type entry struct {
+	*process
+	caller, operator, admin string
+}
+
+// startEntry starts the i-th entry host, each in an availability zone of its own, and waits until it serves.
+func startEntry(t *testing.T, jayshift, dir, store string, i int) entry {
+	t.Helper()
+	e := entry{caller: freeAddress(t), operator: freeAddress(t), admin: freeAddress(t)}
+	path := write(t, dir, fmt.Sprintf("entry-%d.ini", i), fmt.Sprintf(
+		"[host]\nname=entry-%d\navailability-zone=graz-%d\nregion=styria\n[listen]\ncaller=%s\noperator=%s\nlink=%s\nadmin=%s\n[store]\naddress=%s\n",
+		i, i, e.caller, e.operator, freeAddress(t), e.admin, store))
+	e.process = launch(t, jayshift, "entry", "--config", path)
+	return e
+}
+
+func (e entry) serves() bool {
+	code, _ := get("http://"+e.admin+"/healthz", "")
+	return code == http.StatusOK
+}
+
+// voters counts the hosts whose acknowledgements count.
+func (e entry) voters() int {
+	_, text := get("http://"+e.operator+"/v1/hosts", "")
+	return strings.Count(text, `"voter":true`)
+}
+
 // TestWholePathInProcesses serves a request through real processes, kills one entry and goes on through the other.
 func TestWholePathInProcesses(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
-	jayshift, fake := build(t)
+	jayshift, standIn := build(t)
 	dir := t.TempDir()
 	store, backend := freeAddress(t), freeAddress(t)
-	launch(t, fake, "store", "--listen", store)
-	launch(t, fake, "backend", "--listen", backend, "--name", "b1")
-
-	var entries []*process
-	var callers, operators, admins []string
-	for i := range 2 {
-		caller, operator, admin := freeAddress(t), freeAddress(t), freeAddress(t)
-		path := write(t, dir, fmt.Sprintf("entry-%d.ini", i), fmt.Sprintf(
-			"[host]\nname=entry-%d\navailability-zone=graz-%d\nregion=styria\n[listen]\ncaller=%s\noperator=%s\nlink=%s\nadmin=%s\n[store]\naddress=%s\n",
-			i, i, caller, operator, freeAddress(t), admin, store))
-		entries = append(entries, launch(t, jayshift, "entry", "--config", path))
-		callers, operators, admins = append(callers, caller), append(operators, operator), append(admins, admin)
-	}
-	for _, a := range admins {
-		eventually(t, "entry serves", func() bool { code, _ := get("http://"+a+"/healthz", ""); return code == http.StatusOK })
+	launch(t, standIn, "store", "--listen", store)
+	launch(t, standIn, "backend", "--listen", backend, "--name", "b1")
+	entries := []entry{startEntry(t, jayshift, dir, store, 0), startEntry(t, jayshift, dir, store, 1)}
+	for _, e := range entries {
+		eventually(t, "entry serves", e.serves)
 	}
 
 	shift := write(t, dir, "shift.ini", "[region styria]\n[availability-zone graz-0]\nregion=styria\n[service whistle]\nprefix=/whistle\ndeadline-ms=3000\n"+
 		"[backend-server b1]\nservice=whistle\nversion=v1\navailability-zone=graz-0\naddress="+backend+"\nslots=4\n"+
 		"[team north]\nrate=1000\nburst=100\n[shift strike]\nservices=whistle\nteams=north\ncap=1000\ncap-burst=100\n")
-	out, err := exec.Command(jayshift, "--operator", operators[0], "apply", shift).CombinedOutput()
+	out, err := exec.Command(jayshift, "--operator", entries[0].operator, "apply", shift).CombinedOutput()
 	is.NoErr(err)
 	is.True(strings.Contains(string(out), "state=in-force"))
-	out, err = exec.Command(jayshift, "--operator", operators[1], "key", "grant", "north").CombinedOutput()
+	out, err = exec.Command(jayshift, "--operator", entries[1].operator, "key", "grant", "north").CombinedOutput()
 	is.NoErr(err)
 	_, rest, _ := strings.Cut(string(out), "key=")
 	key, _, _ := strings.Cut(rest, "\n")
 
-	code, body := get("http://"+callers[0]+"/whistle/read/1", key)
+	code, body := get("http://"+entries[0].caller+"/whistle/read/1", key)
 	is.Equal(code, http.StatusOK)
 	is.Equal(body, "GET /whistle/read/1\n")
-	code, _ = get("http://"+callers[1]+"/whistle/read/2", "wrong")
+	code, _ = get("http://"+entries[1].caller+"/whistle/read/2", "wrong")
 	is.Equal(code, http.StatusUnauthorized)
 	eventually(t, "steering names both entries", func() bool {
-		_, text := get("http://"+callers[0]+"/v1/steer", "")
-		return strings.Contains(text, callers[0]) && strings.Contains(text, callers[1])
-	})
-	eventually(t, "both entries are voters", func() bool {
-		_, text := get("http://"+operators[1]+"/v1/hosts", "")
-		return strings.Count(text, `"voter":true`) == 2
+		_, text := get("http://"+entries[0].caller+"/v1/steer", "")
+		return strings.Contains(text, entries[0].caller) && strings.Contains(text, entries[1].caller)
 	})
+	eventually(t, "both entries are voters", func() bool { return entries[1].voters() == 2 })
 
 	is.NoErr(entries[0].cmd.Process.Signal(syscall.SIGKILL))
 	eventually(t, "the other entry serves", func() bool {
-		code, _ := get("http://"+callers[1]+"/whistle/read/3", key)
+		code, _ := get("http://"+entries[1].caller+"/whistle/read/3", key)
 		return code == http.StatusOK
 	})
 	eventually(t, "steering leaves the killed entry out", func() bool {
-		_, text := get("http://"+callers[1]+"/v1/steer", "")
-		return !strings.Contains(text, callers[0])
+		_, text := get("http://"+entries[1].caller+"/v1/steer", "")
+		return !strings.Contains(text, entries[0].caller)
 	})
 	is.NoErr(entries[1].cmd.Process.Signal(syscall.SIGTERM))
 	is.NoErr(entries[1].cmd.Wait())
 }
 
+// TestPausedHostStopsServing floods a team's limit while one host is paused for longer than it takes to give its
+// partitions to others, and goes on with the host when it wakes. What backend servers started is held against the
+// exact central limiter.
+func TestPausedHostStopsServing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const rate, burst = 50.0, 20.0
+	jayshift, _ := build(t)
+	dir := t.TempDir()
+	store, closeStore, err := fake.ServeStore(fake.NewStore(), "127.0.0.1:0")
+	is.NoErr(err)
+	defer closeStore()
+	l := &ledger{rate: rate, burst: burst, tokens: burst, at: time.Now()}
+	backend, err := fake.NewBackend("b1", "127.0.0.1:0", fake.Behaviour{Slots: 100, OnStart: func() { l.admit(time.Now()) }})
+	is.NoErr(err)
+	defer backend.Close()
+	var entries []entry
+	for i := range 3 {
+		entries = append(entries, startEntry(t, jayshift, dir, store, i))
+	}
+	eventually(t, "all entries are voters", func() bool { return entries[0].voters() == 3 })
+	ctx := context.Background()
+	operator := client.New(entries[0].operator, "")
+	_, err = operator.Apply(ctx, []wire.Resource{
+		{Kind: "region", Name: "styria", Region: &wire.Region{}},
+		{Kind: "availability-zone", Name: "graz-0", AvailabilityZone: &wire.AvailabilityZone{Region: "styria"}},
+		{Kind: "service", Name: "whistle", Service: &wire.Service{Prefix: "/whistle", DeadlineMs: 1000}},
+		{Kind: "team", Name: "north", Team: &wire.Team{Rate: rate, Burst: burst}},
+		{Kind: "backend-server", Name: "b1", BackendServer: &wire.BackendServer{
+			Service: "whistle", Version: "v1", AvailabilityZone: "graz-0", Address: backend.Address, Slots: 100,
+		}},
+	})
+	is.NoErr(err)
+	granted, err := operator.Grant(ctx, "north", "")
+	is.NoErr(err)
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for i := range 9 {
+		wait.Go(func() { flood("http://"+entries[i%3].caller+"/whistle/read/1", granted.Key, stop) })
+	}
+	time.Sleep(2 * time.Second)
+	paused := time.Now()
+	is.NoErr(entries[2].cmd.Process.Signal(syscall.SIGSTOP))
+	eventually(t, "the paused host's seat is given away", func() bool {
+		_, text := get("http://"+entries[0].operator+"/v1/hosts", "")
+		return !strings.Contains(text, "entry-2")
+	})
+	time.Sleep(3 * time.Second)
+	woken := time.Now()
+	is.NoErr(entries[2].cmd.Process.Signal(syscall.SIGCONT))
+	eventually(t, "the host that woke takes a seat again", entries[2].serves)
+	time.Sleep(3 * time.Second)
+	close(stop)
+	wait.Wait()
+	t.Logf("%d started, at most %.3f beyond the limit", l.admitted, l.over)
+	for _, at := range l.worst {
+		t.Logf("excess grew %s after the pause, %s after the wake", at.Sub(paused), at.Sub(woken))
+	}
+	is.True(l.over <= 0)
+	is.True(l.admitted > 300)
+}
+
+// ledger is one token bucket that sees every start.
+type ledger struct {
+	mu                  sync.Mutex
+	rate, burst, tokens float64
+	at                  time.Time
+	over                float64
+	worst               []time.Time // when the excess grew
+	admitted            int
+}
+
+func (l *ledger) admit(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tokens = min(l.burst, l.tokens+l.rate*max(now.Sub(l.at), 0).Seconds()) - 1
+	l.at = now
+	l.admitted++
+	if -l.tokens > l.over {
+		l.over = -l.tokens
+		l.worst = append(l.worst, now)
+	}
+}
+
+// flood sends requests until the stop is closed; a paused host costs it a second each.
+func flood(url, key string, stop chan struct{}) {
+	impatient := &http.Client{Timeout: time.Second}
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(3 * time.Millisecond):
+		}
+		r, _ := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+		r.Header.Set("Authorization", "Bearer "+key)
+		if response, err := impatient.Do(r); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+	}
+}
+
 // TestWrongSettings lists every fault with its line and exits with code 2.
 func TestWrongSettings(t *testing.T) {
 	is := is.New(t)
--- a/io/entry/admit.go
+++ b/io/entry/admit.go
@@ -29,11 +29,8 @@
 	if p := checkShifts(q); p != nil {
 		return p
 	}
-	if !e.seams.Serving(time.Now()) {
-		return &problem{
-			status: http.StatusServiceUnavailable, kind: kindIsolated, title: "host is cut off",
-			detail: "use another entry", notRun: true, after: time.Second,
-		}
+	if p := e.checkServing(); p != nil {
+		return p
 	}
 	if len(q.r.Header.Get(runKeyHeader)) > maxRunKey {
 		return &problem{status: http.StatusBadRequest, kind: kindBadRequest, title: "idempotency key too long", notRun: true}
@@ -41,6 +38,17 @@
 	return nil
 }
 
+// checkServing refuses when this host is cut off from the fleet.
+func (e *Entry) checkServing() *problem {
+	if e.seams.Serving(time.Now()) {
+		return nil
+	}
+	return &problem{
+		status: http.StatusServiceUnavailable, kind: kindIsolated, title: "host is cut off",
+		detail: "use another entry", notRun: true, after: time.Second, final: true,
+	}
+}
+
 // checkKey finds the team whose key came with the request.
 func (e *Entry) checkKey(q *request) *problem {
 	if q.service.Open {
@@ -72,6 +80,22 @@
 	return team && key
 }
 
+// chargeLife is how long a charge is good for: a request that takes longer to its backend server is charged again,
+// so that requests that were held up together do not arrive together beyond the limits.
+const chargeLife = 20 * time.Millisecond
+
+// ensureCharged charges the request unless its last charge is still good. Each attempt needs a charge of its own.
+func (e *Entry) ensureCharged(q *request) *problem {
+	fresh := !q.charged.IsZero() && time.Since(q.charged) <= chargeLife
+	if !fresh {
+		if p := e.charge(q); p != nil {
+			return p
+		}
+	}
+	q.charged = time.Time{}
+	return nil
+}
+
 // charge takes the request from the limits of its team and of every shift that carries it.
 // What was taken is given back when a later limit refuses.
 func (e *Entry) charge(q *request) *problem {
@@ -85,14 +109,26 @@
 		for _, t := range taken {
 			e.seams.Loans.Refund(t, share.Unit)
 		}
-		return &problem{
-			status: http.StatusTooManyRequests, kind: limit.kind, title: limit.title,
-			notRun: true, after: afterOf(err),
+		return limit.refusal(afterOf(err))
+	}
+	q.charged = time.Now()
+	return nil
+}
+
+// exhausted refuses a request at once while one of its limits is known to be used up, without charging it.
+func (e *Entry) exhausted(q *request) *problem {
+	for _, limit := range e.limitsOf(q) {
+		if after := e.seams.Loans.Exhausted(limit.quantity); after > 0 {
+			return limit.refusal(after)
 		}
 	}
 	return nil
 }
 
+func (c charged) refusal(after time.Duration) *problem {
+	return &problem{status: http.StatusTooManyRequests, kind: c.kind, title: c.title, notRun: true, after: after, final: true}
+}
+
 type charged struct {
 	quantity ident.Quantity
 	kind     string
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -64,6 +64,10 @@
 		return retry.NotRun, p
 	}
 	defer grant.release()
+	if p := e.ready(q); p != nil {
+		p.notRun = !q.mayHaveRun
+		return retry.NotRun, p
+	}
 	q.attempts++
 	name := choice.Server.Name
 	q.tried[name] = true
@@ -79,6 +83,15 @@
 	return e.answered(q, choice.Server, response, started, result)
 }
 
+// ready makes sure, just before the request is sent, that it is charged and that this host still may serve:
+// the request may have waited, and the host may have been paused.
+func (e *Entry) ready(q *request) *problem {
+	if p := e.ensureCharged(q); p != nil {
+		return p
+	}
+	return e.checkServing()
+}
+
 // attemptDeadline leaves time for another attempt when the request may be sent again.
 func (e *Entry) attemptDeadline(q *request, slot share.Slot) time.Time {
 	deadline := q.deadline
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -49,8 +49,9 @@
 	fresh    bool          // the new version was chosen
 	outcome  string
 
-	mayHaveRun bool // some backend server may have run it
-	aborted    bool // an answer broke off after its start was passed on
+	charged    time.Time // when the limits were last charged, zero once an attempt used it
+	mayHaveRun bool      // some backend server may have run it
+	aborted    bool      // an answer broke off after its start was passed on
 }
 
 // idempotent tells whether the request may be run again.
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -55,7 +55,7 @@
 	if p := e.admit(q); p != nil {
 		return p
 	}
-	if p := e.charge(q); p != nil {
+	if p := e.gate(q); p != nil {
 		return p
 	}
 	if err := q.identify(); err != nil {
@@ -71,6 +71,15 @@
 	return e.runOnce(q)
 }
 
+// gate refuses a request beyond its limits before it costs more. A recorded run is charged only when it is sent,
+// since recording it takes longer than a charge is good for.
+func (e *Entry) gate(q *request) *problem {
+	if q.recorded() {
+		return e.exhausted(q)
+	}
+	return e.charge(q)
+}
+
 func poisonProblem() *problem {
 	return &problem{
 		status: http.StatusUnprocessableEntity, kind: kindPoison, title: "backend servers failed while running this request",
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -147,6 +147,14 @@
 	return l.spot(ctx, q, near, n, longestWait)
 }
 
+// Exhausted returns after which time to come back when the fleet was just found to have nothing left, else zero.
+func (l *Loans) Exhausted(q ident.Quantity) time.Duration {
+	after := time.Duration(0)
+	now := l.seams.Now()
+	l.seams.Book.Rate(q, func(r *share.Rate) { after = max(r.Empty().Sub(now), 0) })
+	return after
+}
+
 // await waits its turn for tokens of the own share, when they come within the patience.
 func (l *Loans) await(ctx context.Context, q ident.Quantity, n int64, patience time.Duration) bool {
 	if !l.waitTurn(ctx, q, n, patience) {
