Spread a limit's parts over the holders, and extend loans by what the borrower holds now

The state of its shares, printed every 2 s, showed all ten parts at one host (neighbouring partitions have one holder after the first hosts joined, and parts were neighbours), and that host's whole rate on loan to another: a borrower whose loan was about to end stated that it held nothing, so the lender always extended. Now parts lie 29 partitions apart, and an extension states what is held.

--- a/core/share/limit.go
+++ b/core/share/limit.go
@@ -113,6 +113,10 @@
 	return Limit{Quantity: q, Kind: KindRate, Rate: Micro(rate), Burst: Micro(burst), Parts: max(1, min(parts, seat.Partitions))}
 }
 
+// stride spreads the parts of a limit over the partitions: neighbours tend to have the same holder.
+// It is a prime above any number of regions, so that all parts fall on different partitions and on all regions.
+const stride = 29
+
 // PartitionsOf returns the partitions that the limit is cut along.
 func PartitionsOf(l Limit) []int {
 	if l.Parts == 1 && l.Home > 0 {
@@ -121,7 +125,7 @@
 	first := int(xxhash.Sum64String(string(l.Quantity)) % seat.Partitions)
 	list := make([]int, l.Parts)
 	for i := range list {
-		list[i] = (first + i) % seat.Partitions
+		list[i] = (first + i*stride) % seat.Partitions
 	}
 	return list
 }
--- a/core/share/rate.go
+++ b/core/share/rate.go
@@ -377,6 +377,12 @@
 	return Ask{Demand: demand, Held: lasting}, demand*shortPercent/100 > lasting
 }
 
+// State returns the ask that states this host's demand and what it holds now, for extending a loan.
+func (r *Rate) State(now time.Time) Ask {
+	r.settle(now)
+	return Ask{Demand: r.demand.rate(now), Held: r.rate()}
+}
+
 // Spare returns the tokens at hand, as a hint for peers.
 func (r *Rate) Spare(now time.Time) int64 {
 	r.settle(now)
--- a/io/loans/forecast.go
+++ b/io/loans/forecast.go
@@ -40,7 +40,7 @@
 // to exceed the share.
 func (l *Loans) balance(ctx context.Context, q ident.Quantity) {
 	var back, expiring []share.Loan
-	var ask share.Ask
+	var ask, state share.Ask
 	var short, idle bool
 	now := l.seams.Now()
 	gathers := l.gathers(q)
@@ -48,6 +48,7 @@
 		back = r.GiveBack(now, false, gathers)
 		expiring = r.Expiring(now.Add(extendGathered), now.Add(extendSteady), now)
 		ask, short = r.Short(now)
+		state = r.State(now)
 		idle = r.Idle(now)
 	})
 	l.giveBack(ctx, q, back)
@@ -55,7 +56,7 @@
 		return
 	}
 	for _, loan := range expiring {
-		go l.extend(ctx, q, loan, ask)
+		go l.extend(ctx, q, loan, state)
 	}
 	if gathers {
 		l.gather(ctx, q)
