Recall a loan only for a clear difference; hold the aims as tests

Cause: a lender refused to extend as soon as a random swing of demand left it a twentieth of its rate shorter than the borrower; at 30 requests a second a region swings by 13%, so loans ended and were made anew all the time. Now it takes an eighth of both rates together.

--- a/core/share/book.go
+++ b/core/share/book.go
@@ -32,8 +32,8 @@
 type holding struct {
 	since    int            // table generation
 	revision ident.Revision // store revision at which this host is known to have held it
-	lostAt   time.Time // when it was taken from a lost holder, zero when it was handed over
-	usableAt time.Time // before this, loans of the earlier process of the host may last
+	lostAt   time.Time      // when it was taken from a lost holder, zero when it was handed over
+	usableAt time.Time      // before this, loans of the earlier process of the host may last
 }
 
 type shard struct {
--- a/core/share/rate.go
+++ b/core/share/rate.go
@@ -10,6 +10,7 @@
 const (
 	wantPercent  = 160 // share of its own demand above which a borrower gives loans back
 	slackParts   = 20  // differences below one part in so many of the rate are left as they are
+	recallParts  = 8   // a loan is recalled when the difference exceeds one part in so many of both rates
 	keepsPercent = 130 // share of its rate up to which demand counts as within it
 	keepsFleet   = 115 // share of the limit up to which the demand of all regions counts as within it
 	heardLife    = 1500 * time.Millisecond
@@ -226,7 +227,7 @@
 		return Loan{}, false
 	}
 	l := &r.lent[i]
-	if !l.Gathered && balance(r.rate(), r.demand.rate(now), ask.Held, ask.Demand) < -r.rate()/slackParts {
+	if !l.Gathered && balance(r.rate(), r.demand.rate(now), ask.Held, ask.Demand) < -(r.rate()+ask.Held)/recallParts {
 		return Loan{}, false
 	}
 	if free := r.free(deadline); free.Rate < 0 || free.Burst < 0 {
--- a/io/loans/loans_test.go
+++ b/io/loans/loans_test.go
@@ -297,20 +297,52 @@
 	{name: "host-killed", offer: func(int) float64 { return 0.9 }, killAt: 8 * time.Second},
 }
 
-// TestPolicy prints in-rate refusals by scenario when JAYSHIFT_MEASURE is set, against the equal static cut.
-func TestPolicy(t *testing.T) {
+// aim is the stated part of requests within a team's rate that may be refused.
+const aim = 0.001
+
+// steadyAfter is the stated time after a kill or a shift of load by which refusals are within the aim again.
+const steadyAfter = 2 * time.Second
+
+// refusedWithin returns the largest part of a team's requests within its rate that was refused, of teams that offer
+// less than their rate, in the seconds from the time on.
+func refusedWithin(s scenario, scores []score, from time.Duration) float64 {
+	worst := 0.0
+	for team, c := range scores {
+		if s.offer(team) >= 1 {
+			continue
+		}
+		wrong := 0
+		for _, n := range c.bySecond[from/time.Second:] {
+			wrong += n
+		}
+		worst = max(worst, float64(wrong)/float64(c.within))
+	}
+	return worst
+}
+
+func meet(t *testing.T, s scenario) {
+	t.Helper()
 	is := is.New(t)
+	scores := play(t, s, false)
+	report(t, s, false, scores)
+	for _, c := range scores {
+		is.True(c.over <= 0) // never beyond rate times window plus burst
+	}
+	is.True(refusedWithin(s, scores, s.killAt+steadyAfter) <= aim)
+}
+
+func TestAimEven(t *testing.T)     { meet(t, scenarios[0]) }
+func TestAimSkew(t *testing.T)     { meet(t, scenarios[1]) }
+func TestAimLoudTeam(t *testing.T) { meet(t, scenarios[2]) }
+func TestAimKill(t *testing.T)     { meet(t, scenarios[3]) }
+
+// TestStaticCut prints the equal static cut, which the aims are compared with, when JAYSHIFT_MEASURE is set.
+func TestStaticCut(t *testing.T) {
+	if os.Getenv("JAYSHIFT_MEASURE") == "" {
+		t.Skip("JAYSHIFT_MEASURE is not set")
+	}
 	for _, s := range scenarios {
-		for _, static := range []bool{false, true} {
-			if static && os.Getenv("JAYSHIFT_MEASURE") == "" {
-				continue
-			}
-			scores := play(t, s, static)
-			report(t, s, static, scores)
-			for _, c := range scores {
-				is.True(c.over <= 0) // never beyond rate times window plus burst
-			}
-		}
+		report(t, s, true, play(t, s, true))
 	}
 }
 
