--- a/core/once/ledger.go
+++ b/core/once/ledger.go
@@ -10,7 +10,8 @@
 
 const (
 	shardCount = 32
-	maxRecords = 8192 // in one shard
+	maxRecords = 8192    // in one shard
+	maxBytes   = 1 << 20 // of kept answers in one shard
 )
 
 // Key is a team and the idempotency key that its caller chose.
@@ -56,6 +57,7 @@
 type shard struct {
 	mu      sync.Mutex
 	records map[Key]*Record
+	bytes   int // of kept answers
 	swept   time.Time
 }
 
@@ -86,6 +88,9 @@
 	if len(s.records) >= maxRecords {
 		return Record{State: Full}
 	}
+	if old, ok := s.records[k]; ok {
+		s.bytes -= len(old.Outcome.Body)
+	}
 	s.records[k] = &Record{State: Running, Owner: owner, until: now.Add(l.memory)}
 	return Record{State: Fresh, Owner: owner}
 }
@@ -99,6 +104,10 @@
 	if !ok || r.Owner != owner || r.State != Running {
 		return
 	}
+	if s.bytes+len(outcome.Body) > maxBytes {
+		outcome.Body, outcome.Truncated = nil, true
+	}
+	s.bytes += len(outcome.Body)
 	r.State = state
 	r.Outcome = outcome
 	r.until = now.Add(l.memory)
@@ -122,6 +131,7 @@
 	s.swept = now
 	for k, r := range s.records {
 		if !now.Before(r.until) {
+			s.bytes -= len(r.Outcome.Body)
 			delete(s.records, k)
 		}
 	}
