Do not blame a request that has been answered when backend servers die

Cause: a region's backend servers were closed under load; all callers asked for one path, the losses counted as strikes against it, and the fleet refused it for ten minutes: 15191 of 16452 requests were not answered. Ruled out: slots and routing (the refusals were 'poison-request', and other paths went on). Now a request that succeeded within the last one to two minutes takes no strike. A request that never succeeds still takes two at most.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -15,6 +15,8 @@
 	strikesOut = 2 // backend servers lost before a request is refused for good
 	memory     = 10 * time.Minute
 	maxPrints  = 4096 // fingerprints in one shard
+	goodLife   = 1 * time.Minute
+	maxGood    = 8192 // fingerprints that succeeded lately, in one shard and half of the life
 )
 
 // Print identifies a request by what it asks for.
@@ -28,6 +30,8 @@
 type shard struct {
 	mu     sync.Mutex
 	prints map[Print]*strikes
+	good   [2]map[uint64]bool // hashes of fingerprints that succeeded: now, and in the time before
+	turned time.Time
 }
 
 type strikes struct {
@@ -40,17 +44,49 @@
 	l := &List{}
 	for i := range l.shards {
 		l.shards[i].prints = map[Print]*strikes{}
+		l.shards[i].good = [2]map[uint64]bool{{}, {}}
 	}
 	return l
 }
 
 func (l *List) shard(p Print) *shard { return &l.shards[xxhash.Sum64String(string(p))%shardCount] }
 
-// Strike notes that a backend server was lost while it ran the request. Repeats for the same server count once.
-func (l *List) Strike(now time.Time, p Print, server ident.BackendServer) {
+// Succeeded notes that a backend server ran the request and lived. Such a request is not to blame when a backend server
+// is lost soon after: much asked for ones are running wherever one dies.
+func (l *List) Succeeded(now time.Time, p Print) {
 	s := l.shard(p)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.turn(now)
+	if len(s.good[0]) < maxGood {
+		s.good[0][xxhash.Sum64String(string(p))] = true
+	}
+	delete(s.prints, p)
+}
+
+// turn ages the fingerprints that succeeded.
+func (s *shard) turn(now time.Time) {
+	if now.Sub(s.turned) < goodLife {
+		return
+	}
+	s.good[1] = s.good[0]
+	if now.Sub(s.turned) >= 2*goodLife {
+		s.good[1] = map[uint64]bool{}
+	}
+	s.good[0] = map[uint64]bool{}
+	s.turned = now
+}
+
+// Strike notes that a backend server was lost while it ran the request; false when the request succeeded lately.
+// Repeats for the same server count once.
+func (l *List) Strike(now time.Time, p Print, server ident.BackendServer) bool {
+	s := l.shard(p)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turn(now)
+	if hash := xxhash.Sum64String(string(p)); s.good[0][hash] || s.good[1][hash] {
+		return false
+	}
 	s.expire(now)
 	k, ok := s.prints[p]
 	if !ok {
@@ -59,6 +95,7 @@
 	}
 	k.servers[server] = true
 	k.until = now.Add(memory)
+	return true
 }
 
 // expire drops what is too old, and the oldest when there are too many.
--- a/io/entry/answer.go
+++ b/io/entry/answer.go
@@ -75,6 +75,7 @@
 	now := time.Now()
 	switch {
 	case err == nil:
+		e.seams.Poison.Succeeded(now, q.print)
 		outcome := route.Answered
 		if response.StatusCode >= http.StatusInternalServerError {
 			outcome = route.Failed
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -339,8 +339,9 @@
 
 // strike notes that a backend server was lost while it ran the request, here and at the peers.
 func (e *Entry) strike(q *request, s *route.Server) {
-	e.seams.Poison.Strike(time.Now(), q.print, s.Name)
-	e.seams.Strike(q.print, s.Name)
+	if e.seams.Poison.Strike(time.Now(), q.print, s.Name) {
+		e.seams.Strike(q.print, s.Name)
+	}
 	e.seams.Log.Warn("backend server lost during a request", "backend-server", string(s.Name), "service", string(q.service.Name))
 }
 
