--- /dev/null
+++ b/io/host/soak_test.go
@@ -0,0 +1,83 @@
+package host_test
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayshift/core/wire"
+	"jayshift/internal/fake"
+	"jayshift/internal/fleet"
+	"jayshift/io/load"
+)
+
+// TestSoak sends reads, keyed writes and uploads through 6 hosts while hosts are killed and started again, the store is
+// out, links are cut and backend servers die, when JAYSHIFT_MEASURE is set. It prints what became of the requests and
+// requires what must always hold.
+func TestSoak(t *testing.T) {
+	if os.Getenv("JAYSHIFT_MEASURE") == "" {
+		t.Skip("JAYSHIFT_MEASURE is not set")
+	}
+	is := is.New(t)
+	act := fake.Behaviour{Slots: 5, Latency: 8 * time.Millisecond, Shed: true}
+	o := fleet.Options{Hosts: 6, Regions: 3, Services: []fleet.Service{
+		{Name: "whistle", Versions: []string{"v1"}, Backends: 9, Act: act, DeadlineMs: 2000},
+		{Name: "claims", Versions: []string{"v1"}, Backends: 6, Act: act, DeadlineMs: 2000},
+	}}
+	f, key, _ := start(t, o, wire.Resource{Kind: "team", Name: "loud", Team: &wire.Team{Rate: 40, Burst: 20}},
+		wire.Resource{Kind: "team", Name: "small", Team: &wire.Team{Rate: 40, Burst: 20}})
+	loud, _, err := f.Grant(context.Background(), "loud")
+	is.NoErr(err)
+	small, _, err := f.Grant(context.Background(), "small")
+	is.NoErr(err)
+	go chaos(f)
+	result := load.Run(context.Background(), load.Plan{
+		Seed: 5, Length: 30 * time.Second, Warm: time.Second, Write: 0.4, Upload: 0.05, Bytes: 100_000, Resend: 3, Entries: f.Entries,
+		Teams: []load.Team{
+			{Name: "north", Key: key, Offer: 300}, {Name: "loud", Key: loud, Offer: 200, Rate: 40, Burst: 20},
+			{Name: "small", Key: small, Offer: 30, Rate: 40, Burst: 20},
+		},
+		Paths: []string{"/whistle", "/claims"},
+	})
+	t.Log("\n" + result.Table())
+	runs, keys, over := f.Seen()
+	t.Logf("run twice %d, refused as not run but run %d, keys seen %d, beyond slots %d",
+		len(result.Doubled(runs)), len(result.FalseNotRun(runs)), keys, over)
+	is.Equal(len(result.Doubled(runs)), 0)
+	is.Equal(len(result.FalseNotRun(runs)), 0)
+	is.Equal(keys, 0)
+	is.Equal(over, 0)
+}
+
+// chaos breaks things one after the other, and two at once.
+func chaos(f *fleet.Fleet) {
+	restart := func(i int) {
+		link := f.Hosts[i].Addresses().Link
+		f.Hosts[i].Kill()
+		if h, err := f.StartHost(i, link); err == nil {
+			f.Hosts[i] = h
+		}
+	}
+	time.Sleep(4 * time.Second)
+	restart(5)
+	time.Sleep(3 * time.Second)
+	f.Store.SetFaults(fake.Faults{Down: true})
+	f.Backends[fleet.BackendName("whistle", "v1", 0)].Close()
+	time.Sleep(5 * time.Second)
+	f.Store.SetFaults(fake.Faults{Delay: 300 * time.Millisecond})
+	for _, h := range f.Hosts[1:] {
+		h.Mesh.SetCut("entry-1", true)
+	}
+	time.Sleep(5 * time.Second)
+	f.Store.SetFaults(fake.Faults{LoseAnswer: 5})
+	for _, h := range f.Hosts[1:] {
+		h.Mesh.SetCut("entry-1", false)
+	}
+	restart(4)
+	time.Sleep(3 * time.Second)
+	f.Store.Lapse()
+	restart(3)
+}
