Hand the records of runs over when a host stops

Cause: a stopped host's records counted as lost for ten minutes, so with two hosts replaced in that time new keyed writes were refused as outcome-unknown for every key that both kept: a rolling restart would have stopped them all. Now a stopping host copies its records to the keepers that remain, two at least for each, and its memory then does not count as gone. After: with two of four hosts stopped, ten resends get their first answers, no run is repeated and new runs start. A killed host's records still count as lost.

--- a/core/once/ledger.go
+++ b/core/once/ledger.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +52,7 @@
 // Ledger is one host's memory of runs, in shards with a lock each.
 type Ledger struct {
 	memory time.Duration
+	closed atomic.Bool
 	shards [shardCount]shard
 }
 
@@ -85,7 +87,7 @@
 		}
 		return *r
 	}
-	if len(s.records) >= maxRecords {
+	if len(s.records) >= maxRecords || l.closed.Load() {
 		return Record{State: Full}
 	}
 	if old, ok := s.records[k]; ok {
@@ -123,6 +125,38 @@
 	}
 }
 
+// Close records no further runs, so that the records can be handed over. Those at hand are still answered.
+func (l *Ledger) Close() { l.closed.Store(true) }
+
+// Copy takes in a record that another host hands over, unless one of the key is at hand.
+func (l *Ledger) Copy(now time.Time, k Key, r Record) {
+	s := l.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.records[k]; ok && now.Before(old.until) {
+		return
+	}
+	r.until = now.Add(l.memory)
+	s.bytes += len(r.Outcome.Body)
+	s.records[k] = &r
+}
+
+// All returns every record that is remembered.
+func (l *Ledger) All(now time.Time) map[Key]Record {
+	out := map[Key]Record{}
+	for i := range l.shards {
+		s := &l.shards[i]
+		s.mu.Lock()
+		for k, r := range s.records {
+			if now.Before(r.until) {
+				out[k] = *r
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 // sweep drops what is too old, at most once a second.
 func (s *shard) sweep(now time.Time) {
 	if now.Sub(s.swept) < time.Second {
--- a/core/seat/keeper.go
+++ b/core/seat/keeper.go
@@ -60,6 +60,12 @@
 	return next, changed
 }
 
+// Without returns the table as it will be when the host has left.
+func Without(t wire.SeatTable, host ident.Host) wire.SeatTable {
+	t.Seats = slices.DeleteFunc(slices.Clone(t.Seats), func(s wire.Seat) bool { return s.Host == string(host) })
+	return t
+}
+
 // Keepers returns the hosts that may hold a record of the key from any time within the memory of runs.
 //
 // Hosts are ranked by rendezvous hashing. The walk goes down the ranks until it has met three hosts that were keepers
--- a/core/seat/table.go
+++ b/core/seat/table.go
@@ -106,12 +106,17 @@
 }
 
 // Leave removes a host that stopped by itself after its last work ended. Its partitions are free at once.
-func Leave(now time.Time, t wire.SeatTable, host ident.Host, incarnation ident.Incarnation) (wire.SeatTable, error) {
+// When its records of runs were handed over, its memory does not count as gone.
+func Leave(now time.Time, t wire.SeatTable, host ident.Host, incarnation ident.Incarnation, handedOver bool) (wire.SeatTable, error) {
 	i := indexOf(t, host)
 	if i < 0 || t.Seats[i].Incarnation != int(incarnation) {
 		return t, ErrNoSeat
 	}
-	return remove(now, t, host, true), nil
+	next := remove(now, t, host, true)
+	if handedOver {
+		next.Gone = slices.Clone(t.Gone)
+	}
+	return next, nil
 }
 
 // Revoke removes a marked seat; CanRevoke must have allowed it.
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -378,7 +378,7 @@
 	// Status code of the outcome.
 	Status int `json:"status" cbor:"status"`
 
-	// ask, start, finish or cancel.
+	// start, finish, cancel or copy.
 	Step string `json:"step" cbor:"step"`
 
 	// True when the body was too large to keep.
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -304,9 +304,10 @@
 		h.log.Warn("requests still running at the drain limit", "host", h.settings.Name)
 	}
 	h.Loans.GiveBackAll(ctx)
+	handedOver := h.runs.HandOver(ctx)
 	leave, cancelLeave := context.WithTimeout(h.ctx, leaveLimit)
 	defer cancelLeave()
-	if err := h.Member.Leave(leave); err != nil {
+	if err := h.Member.Leave(leave, handedOver); err != nil {
 		h.log.Warn("seat not given up", "error", err.Error())
 	}
 	return nil
--- a/io/host/once_test.go
+++ b/io/host/once_test.go
@@ -52,6 +52,33 @@
 	is.Equal(runsOf(f, "claim-1"), 1)
 }
 
+// TestRunsOutliveStoppedHosts stops two of four hosts after a run, one after the other: their records are handed over,
+// so the resend gets the answer, and new runs start.
+func TestRunsOutliveStoppedHosts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	o := one("v1")
+	o.Hosts = 4
+	f, key, _ := start(t, o)
+	for i := range 10 {
+		is.Equal(write(key, fmt.Sprintf("claim-%d", i)).send(http.DefaultClient, f.Entries()[0]).status, http.StatusOK)
+	}
+	for _, i := range []int{0, 1} {
+		is.NoErr(f.Hosts[i].Stop())
+		eventually(t, "the seat is given up", func() bool { return len(f.Hosts[3].Member.Table().Seats) == 3-i })
+	}
+	for i := range 10 {
+		work := fmt.Sprintf("claim-%d", i)
+		again := write(key, work).send(http.DefaultClient, f.Entries()[2])
+		is.Equal(again.status, http.StatusOK)
+		is.Equal(again.header.Get("Jayshift-Replayed"), "true")
+		is.Equal(runsOf(f, work), 1)
+	}
+	eventually(t, "new runs start", func() bool {
+		return write(key, "claim-new").send(http.DefaultClient, f.Entries()[3]).status == http.StatusOK
+	})
+}
+
 // TestSimultaneousSendsRunOnce sends one request through all entries at once.
 func TestSimultaneousSendsRunOnce(t *testing.T) {
 	t.Parallel()
--- a/io/host/soak_test.go
+++ b/io/host/soak_test.go
@@ -37,7 +37,8 @@
 	result := load.Run(context.Background(), load.Plan{
 		Seed: 5, Length: 30 * time.Second, Warm: time.Second, Write: 0.4, Upload: 0.05, Bytes: 100_000, Resend: 3, Entries: f.Entries,
 		Teams: []load.Team{
-			{Name: "north", Key: key, Offer: 300}, {Name: "loud", Key: loud, Offer: 200, Rate: 40, Burst: 20},
+			{Name: "north", Key: key, Offer: 300},
+			{Name: "loud", Key: loud, Offer: 200, Rate: 40, Burst: 20},
 			{Name: "small", Key: small, Offer: 30, Rate: 40, Burst: 20},
 		},
 		Paths: []string{"/whistle", "/claims"},
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -439,8 +439,8 @@
 	return err
 }
 
-// Leave gives up the seat once this host's work has ended.
-func (m *Member) Leave(ctx context.Context) error {
+// Leave gives up the seat once this host's work has ended; handedOver tells that other hosts have its records of runs.
+func (m *Member) Leave(ctx context.Context, handedOver bool) error {
 	m.mu.Lock()
 	m.left = true
 	incarnation := ident.Incarnation(m.hello.Incarnation)
@@ -450,7 +450,7 @@
 		m.mu.Lock()
 		t, revision := m.table, m.tableRevision
 		m.mu.Unlock()
-		next, err := seat.Leave(time.Now(), t, m.self(), incarnation)
+		next, err := seat.Leave(time.Now(), t, m.self(), incarnation, handedOver)
 		if err != nil {
 			return nil
 		}
--- a/io/runs/runs.go
+++ b/io/runs/runs.go
@@ -6,6 +6,7 @@
 	"encoding/base64"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -19,6 +20,7 @@
 const (
 	recordTimeout = 500 * time.Millisecond
 	outcomeTries  = 3
+	copiesAtOnce  = 64
 )
 
 // Steps of a record frame.
@@ -26,6 +28,7 @@
 	stepStart  = "start"
 	stepFinish = "finish"
 	stepCancel = "cancel"
+	stepCopy   = "copy"
 )
 
 // Seams are what runs need from the rest of the process.
@@ -171,10 +174,56 @@
 		r.seams.Ledger.Finish(now, key, owner, once.State(record.State), outcome)
 	case stepCancel:
 		r.seams.Ledger.Cancel(key, owner)
+	case stepCopy:
+		body, err := base64.StdEncoding.DecodeString(record.Body)
+		outcome := once.Outcome{Status: record.Status, Header: record.Header, Body: body, Truncated: record.Truncated || err != nil}
+		r.seams.Ledger.Copy(now, key, once.Record{State: once.State(record.State), Owner: owner, Outcome: outcome})
 	}
 	return &wire.RecordAnswer{}
 }
 
+// HandOver copies all records to the keepers that remain without this host. It returns true when every record is at
+// two of its keepers at least, or at the only one: then nothing is lost when this host leaves.
+func (r *Runs) HandOver(ctx context.Context) bool {
+	r.seams.Ledger.Close()
+	now := time.Now()
+	var failed atomic.Bool
+	var wait sync.WaitGroup
+	room := make(chan struct{}, copiesAtOnce)
+	for key, record := range r.seams.Ledger.All(now) {
+		room <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-room }()
+			if !r.copyRecord(ctx, now, key, record) {
+				failed.Store(true)
+			}
+		})
+	}
+	wait.Wait()
+	return !failed.Load() && ctx.Err() == nil
+}
+
+func (r *Runs) copyRecord(ctx context.Context, now time.Time, key once.Key, record once.Record) bool {
+	frame := wire.Record{
+		Key: string(key), Step: stepCopy, Owner: string(record.Owner), State: string(record.State),
+		Status: record.Outcome.Status, Header: record.Outcome.Header, Truncated: record.Outcome.Truncated,
+		Body: base64.StdEncoding.EncodeToString(record.Outcome.Body),
+	}
+	copies, keepers := 0, 0
+	for _, k := range seat.Keepers(now, seat.Without(r.seams.Table(), r.seams.Self), string(key)) {
+		if k.Gone {
+			continue
+		}
+		keepers++
+		try, cancel := context.WithTimeout(ctx, recordTimeout)
+		if _, ok := r.ask(try, k.Host, frame); ok {
+			copies++
+		}
+		cancel()
+	}
+	return copies >= min(2, keepers)
+}
+
 func answerOf(r once.Record) *wire.RecordAnswer {
 	return &wire.RecordAnswer{
 		State: string(r.State), Owner: string(r.Owner), Status: r.Outcome.Status, Header: r.Outcome.Header,
