--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -10,18 +10,14 @@
 	"errors"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"jayshift/core/config"
 	"jayshift/core/ident"
 	"jayshift/core/wire"
 	"jayshift/io/entry"
 	"jayshift/io/member"
-	"jayshift/io/moves"
 	"jayshift/io/store"
 )
 
@@ -171,129 +167,3 @@
 	resource := wire.Resource{Kind: config.KindKey, Name: q.Name, Revision: mustBeNew, Key: &wire.Key{Team: q.Team, Hash: hash}}
 	a.finish(r.Context(), w, []wire.Resource{resource}, Applied{Key: key, Name: q.Name})
 }
-
-func (a *Admin) status(w http.ResponseWriter, r *http.Request) {
-	v, err := a.verdictFor(r)
-	if err != nil {
-		fail(w, http.StatusNotFound, err.Error())
-		return
-	}
-	reply(w, v)
-}
-
-var errNoResource = merry.Sentinel("no such resource")
-
-// verdictFor states how far a change has come. The query's revision stands for a change that removed the resource.
-func (a *Admin) verdictFor(r *http.Request) (wire.Verdict, error) {
-	kind, name := r.PathValue("kind"), r.PathValue("name")
-	revision, _ := strconv.Atoi(r.URL.Query().Get("revision"))
-	resource, ok := a.seams.Snapshot().Get(config.ResourceID{Kind: kind, Name: name})
-	if !ok && revision == 0 {
-		return wire.Verdict{}, errNoResource
-	}
-	v := wire.Verdict{State: moves.InForce, Revision: max(revision, resource.Revision)}
-	v.Waiting = a.waiting(ident.Revision(v.Revision))
-	if len(v.Waiting) > 0 {
-		v.State = moves.Pending
-		v.Reason = "not in force at every host yet"
-		return v, nil
-	}
-	if ok && resource.Shift != nil && len(resource.Shift.Versions) > 0 {
-		return a.moveVerdict(v, config.Shift{Name: ident.Shift(name), Shift: *resource.Shift}), nil
-	}
-	return v, nil
-}
-
-func (a *Admin) moveVerdict(v wire.Verdict, shift config.Shift) wire.Verdict {
-	stated, ok := a.seams.Verdict(string(shift.Name))
-	if !ok || stated.Attempt != moves.Attempt(shift) {
-		v.State = moves.Pending
-		v.Reason = "move not started yet"
-		return v
-	}
-	stated.Revision = v.Revision
-	return stated
-}
-
-// waiting returns the seated hosts that are not known to have the revision in force.
-func (a *Admin) waiting(revision ident.Revision) []string {
-	peers := a.seams.Peers()
-	waiting := []string{}
-	for _, s := range a.seams.Table().Seats {
-		known := peers[ident.Host(s.Host)].Revision
-		if ident.Host(s.Host) == a.seams.Host {
-			known = a.seams.Snapshot().Revision
-		}
-		if known < revision {
-			waiting = append(waiting, s.Host)
-		}
-	}
-	return waiting
-}
-
-// watch streams the states of a change, one JSON value a line, until the last one.
-func (a *Admin) watch(w http.ResponseWriter, r *http.Request) {
-	encoder := json.NewEncoder(w)
-	ctx, cancel := context.WithTimeout(r.Context(), watchLimit)
-	defer cancel()
-	last := ""
-	for ctx.Err() == nil {
-		v, err := a.verdictFor(r)
-		if err != nil && last == "" {
-			fail(w, http.StatusNotFound, err.Error())
-			return
-		}
-		if err != nil {
-			return
-		}
-		text, _ := json.Marshal(v)
-		if string(text) != last {
-			last = string(text)
-			_ = encoder.Encode(v)
-			w.(http.Flusher).Flush()
-		}
-		if v.State != moves.Pending {
-			return
-		}
-		select {
-		case <-time.After(watchPoll):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// HostView is what operators see of a host.
-type HostView struct {
-	Host             string  `json:"host"`
-	AvailabilityZone string  `json:"availability-zone"`
-	Region           string  `json:"region"`
-	Revision         int     `json:"revision"`
-	InFlight         int     `json:"in-flight"`
-	Headroom         float64 `json:"headroom"`
-	Draining         bool    `json:"draining"`
-	Marked           bool    `json:"marked"`
-	Voter            bool    `json:"voter"`
-	Partitions       int     `json:"partitions"`
-}
-
-func (a *Admin) hosts(w http.ResponseWriter, _ *http.Request) {
-	t := a.seams.Table()
-	peers := a.seams.Peers()
-	held := map[string]int{}
-	for _, p := range t.Partitions {
-		held[p.Owner]++
-	}
-	list := []HostView{}
-	for _, s := range t.Seats {
-		p := peers[ident.Host(s.Host)]
-		if ident.Host(s.Host) == a.seams.Host {
-			p.Revision = a.seams.Snapshot().Revision
-		}
-		list = append(list, HostView{
-			Host: s.Host, AvailabilityZone: s.AvailabilityZone, Region: s.Region, Revision: int(p.Revision),
-			InFlight: p.InFlight, Headroom: p.Headroom, Draining: p.Draining, Marked: s.Mark > 0, Voter: s.Voter,
-			Partitions: held[s.Host],
-		})
-	}
-	reply(w, list)
-}
