Count a request's demand once, and refuse without asking only beyond the limit

Cause: each request that found its region's gathering host empty asked it twice, and counted as demand twice: under skew the host took its demand for 108 to 113 a second where 83 came, refused to let requests wait, and after one refusal the next ones were refused unasked for 10 ms (seen in the state at each refusal).

--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -247,6 +247,10 @@
 
 // Asks a peer for part of its share of a quantity.
 type LoanAsk struct {
+	// True when the same request asked before, so that it is not counted as demand
+	// again.
+	Again bool `json:"again" cbor:"again"`
+
 	// True when the asker gathers the region's shares and wants all of it.
 	All bool `json:"all" cbor:"all"`
 
--- a/io/loans/ask.go
+++ b/io/loans/ask.go
@@ -14,10 +14,10 @@
 )
 
 // spot takes what a request needs from one host: a loan of just that, given back spent at once.
-func (l *Loans) spot(ctx context.Context, q ident.Quantity, host ident.Host, n int64, patience time.Duration) bool {
+func (l *Loans) spot(ctx context.Context, q ident.Quantity, host ident.Host, n int64, patience time.Duration, again bool) bool {
 	grant, ok := l.call(ctx, host, wire.LoanAsk{
 		Quantity: string(q), Burst: int(n), Tokens: int(n), TermMs: int(spotTerm / time.Millisecond),
-		PatienceMs: int(patience / time.Millisecond),
+		PatienceMs: int(patience / time.Millisecond), Again: again,
 	})
 	if !ok || int64(grant.Tokens) < n {
 		l.noteAnswer(q, host, false)
--- a/io/loans/lend.go
+++ b/io/loans/lend.go
@@ -31,7 +31,7 @@
 func (l *Loans) Lend(ctx context.Context, peer ident.Host, a *wire.LoanAsk) *wire.Frame {
 	q := ident.Quantity(a.Quantity)
 	grant := &wire.LoanGrant{Quantity: a.Quantity}
-	near := slices.Contains(l.seams.Near(), peer)
+	near := !a.Again && slices.Contains(l.seams.Near(), peer)
 	if !l.lendRate(q, peer, a, near, grant) {
 		l.lendSlots(q, peer, a, grant)
 		return &wire.Frame{LoanGrant: grant}
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -121,7 +121,7 @@
 		return nil
 	}
 	for _, host := range l.lenders(q) {
-		if l.spot(ctx, q, host, n, shortWait) {
+		if l.spot(ctx, q, host, n, shortWait, false) {
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -141,7 +141,7 @@
 	if near == l.seams.Self {
 		return l.await(ctx, q, n, longestWait)
 	}
-	return l.spot(ctx, q, near, n, longestWait)
+	return l.spot(ctx, q, near, n, longestWait, true)
 }
 
 // Exhausted returns after which time to come back when the fleet was just found to have nothing left, else zero.
@@ -184,7 +184,7 @@
 	return &Refusal{Quantity: q, After: max(after, time.Millisecond)}
 }
 
-// noteEmpty spares the peers further asks until the fleet has had time to gather tokens.
+// noteEmpty spares the peers further asks, while demand is beyond the limit, until the fleet has had time to gather tokens.
 func (l *Loans) noteEmpty(q ident.Quantity, n int64) {
 	limit, ok := l.seams.Book.Limit(q)
 	if !ok || limit.Rate <= 0 {
@@ -192,7 +192,11 @@
 	}
 	gather := time.Duration(float64(n) / float64(limit.Rate) * float64(time.Second))
 	until := l.seams.Now().Add(min(max(gather, emptyLeast), emptyMost))
-	l.seams.Book.Rate(q, func(r *share.Rate) { r.SetEmpty(until) })
+	l.seams.Book.Rate(q, func(r *share.Rate) {
+		if !r.Keeps(l.seams.Now()) {
+			r.SetEmpty(until)
+		}
+	})
 }
 
 // Refund gives back what was taken for work that was not sent.
