--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -126,21 +126,11 @@
 	if err != nil {
 		return 0, err
 	}
-	var list []wire.Resource
-	head := ident.Revision(0)
-	for _, kv := range kvs {
-		event := store.Event{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision, Created: kv.CreateRevision}
-		switch {
-		case event.Key == HeadKey:
-			head = ident.Revision(kv.ModRevision)
-		case strings.HasPrefix(event.Key, resources):
-			if r, ok := f.resource(event); ok {
-				list = append(list, r)
-			}
-		default:
-			f.other(event)
-		}
+	events := make([]store.Event, len(kvs))
+	for i, kv := range kvs {
+		events[i] = store.Event{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision, Created: kv.CreateRevision}
 	}
+	head, list := f.sort(events)
 	f.replace(config.New(head, list))
 	return revision, nil
 }
@@ -187,7 +177,14 @@
 
 // apply takes in a batch of watch events, which holds whole store revisions.
 func (f *Feed) apply(events []store.Event) {
-	var changes []wire.Resource
+	if head, changes := f.sort(events); head > 0 {
+		f.advance(head, changes)
+	}
+}
+
+// sort returns the head's revision, zero when it is not among the events, and the resources; all else it takes in.
+func (f *Feed) sort(events []store.Event) (ident.Revision, []wire.Resource) {
+	var list []wire.Resource
 	head := ident.Revision(0)
 	for _, e := range events {
 		switch {
@@ -195,15 +192,13 @@
 			head = ident.Revision(e.Revision)
 		case strings.HasPrefix(e.Key, resources):
 			if r, ok := f.resource(e); ok {
-				changes = append(changes, r)
+				list = append(list, r)
 			}
 		default:
 			f.other(e)
 		}
 	}
-	if head > 0 {
-		f.advance(head, changes)
-	}
+	return head, list
 }
 
 // replace takes in a whole configuration, unless one as new is at hand.
@@ -212,10 +207,8 @@
 	defer f.mu.Unlock()
 	first := !f.loaded
 	f.loaded = true
-	if s.Revision <= f.current.Load().Revision && !first {
-		return
-	}
-	if s.Revision < f.current.Load().Revision {
+	current := f.current.Load().Revision
+	if s.Revision < current || (s.Revision == current && !first) {
 		return
 	}
 	f.history = nil
