Keep requests off two locks for the whole entry

Each request took one lock for its service's queue and budget and one for the table of connections; both are read without a lock now. No effect is claimed; the race tests pass.

--- a/io/entry/acquire.go
+++ b/io/entry/acquire.go
@@ -7,7 +7,6 @@
 
 	"jayshift/core/config"
 	"jayshift/core/ident"
-	"jayshift/core/queue"
 	"jayshift/core/route"
 	"jayshift/core/share"
 )
@@ -20,7 +19,8 @@
 
 // acquire finds a backend server with a free slot, waiting in the fair queue when all are busy.
 func (e *Entry) acquire(q *request) (route.Choice, grant, *problem) {
-	line := e.queue(q.service.Name)
+	shared := e.lane(q.service.Name)
+	line := shared.queue
 	if line.Length() == 0 {
 		if c, g, ok := e.tryAcquire(q); ok {
 			line.Served(time.Now())
@@ -32,7 +32,7 @@
 	if !ok {
 		return route.Choice{}, grant{}, busyProblem()
 	}
-	e.pump(q.service.Name, line)
+	shared.pump()
 	limit := time.NewTimer(patience)
 	defer limit.Stop()
 	for {
@@ -55,36 +55,26 @@
 }
 
 // pump lets one waiting request try every few milliseconds, since slots may come free at peers, until none waits.
-func (e *Entry) pump(name ident.Service, line *queue.Queue) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.pumping[name] {
+func (l *lane) pump() {
+	if !l.pumping.CompareAndSwap(false, true) {
 		return
 	}
-	e.pumping[name] = true
 	go func() {
 		ticker := time.NewTicker(queuePoll)
 		defer ticker.Stop()
 		for range ticker.C {
-			if e.idle(name, line) {
-				return
+			if l.queue.Length() == 0 {
+				break
 			}
-			line.Wake()
+			l.queue.Wake()
+		}
+		l.pumping.Store(false)
+		if l.queue.Length() > 0 {
+			l.pump() // one joined between the last look and the end
 		}
 	}()
 }
 
-// idle ends the pump when no request waits.
-func (e *Entry) idle(name ident.Service, line *queue.Queue) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if line.Length() > 0 {
-		return false
-	}
-	e.pumping[name] = false
-	return true
-}
-
 func busyProblem() *problem {
 	return &problem{
 		status: http.StatusServiceUnavailable, kind: kindBusy, title: "all backend servers are busy",
@@ -131,7 +121,7 @@
 		}
 		return choice, grant{slot: slot, release: func() {
 			e.seams.Loans.FreeSlot(quantity, slot)
-			e.queue(q.service.Name).Wake()
+			e.lane(q.service.Name).queue.Wake()
 		}}, true
 	}
 }
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -32,7 +32,7 @@
 
 // attemptAll sends the request until an answer was passed on or it may not be sent again.
 func (e *Entry) attemptAll(q *request, result *runResult) *problem {
-	budget := e.budget(q.service.Name)
+	budget := e.lane(q.service.Name).budget
 	budget.First()
 	for {
 		last, p := e.attempt(q, result)
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -66,16 +66,19 @@
 	seams    Seams
 	inFlight atomic.Int64
 	draining atomic.Bool
+	lanes    sync.Map // ident.Service to *lane
+}
 
-	mu      sync.Mutex
-	queues  map[ident.Service]*queue.Queue
-	budgets map[ident.Service]*retry.Budget
-	pumping map[ident.Service]bool
+// lane is what the requests of one service share.
+type lane struct {
+	queue   *queue.Queue
+	budget  *retry.Budget
+	pumping atomic.Bool // a goroutine lets waiting requests try
 }
 
 // New returns an entry.
 func New(seams Seams) *Entry {
-	return &Entry{seams: seams, queues: map[ident.Service]*queue.Queue{}, budgets: map[ident.Service]*retry.Budget{}, pumping: map[ident.Service]bool{}}
+	return &Entry{seams: seams}
 }
 
 // ServeHTTP answers one caller's request.
@@ -112,24 +115,10 @@
 	return true
 }
 
-func (e *Entry) queue(s ident.Service) *queue.Queue {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	q, ok := e.queues[s]
-	if !ok {
-		q = queue.New(queuePerService)
-		e.queues[s] = q
-	}
-	return q
-}
-
-func (e *Entry) budget(s ident.Service) *retry.Budget {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	b, ok := e.budgets[s]
-	if !ok {
-		b = retry.NewBudget()
-		e.budgets[s] = b
+func (e *Entry) lane(s ident.Service) *lane {
+	if l, ok := e.lanes.Load(s); ok {
+		return l.(*lane)
 	}
-	return b
+	l, _ := e.lanes.LoadOrStore(s, &lane{queue: queue.New(queuePerService), budget: retry.NewBudget()})
+	return l.(*lane)
 }
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -47,14 +47,15 @@
 
 // Pool holds the backend servers of the present configuration.
 type Pool struct {
-	mu      sync.Mutex
-	targets map[ident.BackendServer]*Target
+	mu      sync.Mutex // guards updates; readers take the map as it is
+	targets atomic.Pointer[map[ident.BackendServer]*Target]
 	lists   atomic.Pointer[map[ident.Service][]*route.Server]
 }
 
 // New returns an empty pool.
 func New() *Pool {
-	p := &Pool{targets: map[ident.BackendServer]*Target{}}
+	p := &Pool{}
+	p.targets.Store(&map[ident.BackendServer]*Target{})
 	p.lists.Store(&map[ident.Service][]*route.Server{})
 	return p
 }
@@ -63,11 +64,11 @@
 func (p *Pool) Update(s *config.Snapshot) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := map[ident.BackendServer]*Target{}
+	before, next := *p.targets.Load(), map[ident.BackendServer]*Target{}
 	lists := map[ident.Service][]*route.Server{}
 	for _, service := range s.Services() {
 		for _, b := range s.Servers(service.Name) {
-			t := p.targets[b.Name]
+			t := before[b.Name]
 			if t == nil || t.State.Server != b {
 				t = newTarget(b)
 			}
@@ -75,12 +76,12 @@
 			lists[service.Name] = append(lists[service.Name], t.State)
 		}
 	}
-	for name, t := range p.targets {
+	for name, t := range before {
 		if next[name] != t {
 			t.transport.CloseIdleConnections()
 		}
 	}
-	p.targets = next
+	p.targets.Store(&next)
 	p.lists.Store(&lists)
 }
 
@@ -100,9 +101,7 @@
 func (p *Pool) Servers(service ident.Service) []*route.Server { return (*p.lists.Load())[service] }
 
 func (p *Pool) target(name ident.BackendServer) *Target {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.targets[name]
+	return (*p.targets.Load())[name]
 }
 
 // Do sends a request to a backend server and returns the start of its answer.
@@ -186,22 +185,9 @@
 	}
 }
 
-// Names returns all backend servers.
-func (p *Pool) Names() []ident.BackendServer {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := make([]ident.BackendServer, 0, len(p.targets))
-	for name := range p.targets {
-		list = append(list, name)
-	}
-	return list
-}
-
 // Close ends all idle connections.
 func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, t := range p.targets {
+	for _, t := range *p.targets.Load() {
 		t.transport.CloseIdleConnections()
 	}
 }
