Refuse without searching other regions when demand is known to be beyond the limit

Cause: requests of a team at 5 times its rate asked two other regions in turn before they were refused, although the gathering host knew from the demands that they state that none could help.

--- a/core/share/borrow.go
+++ b/core/share/borrow.go
@@ -91,18 +91,29 @@
 // Keeps tells whether demand stays within the limit, so that a request that waits for tokens is likely to get them.
 // Demand in other regions counts as far as it was heard of lately; where it was not, this share is weighed alone.
 func (r *Rate) Keeps(now time.Time) bool {
-	own := r.demand.rate(now)
-	if own <= r.rate()*keepsPercent/100 {
+	if r.demand.rate(now) <= r.rate()*keepsPercent/100 {
 		return true
 	}
-	all, heard := own, false
+	all, heard := r.fleetDemand(now)
+	return heard && all <= r.limit*keepsFleet/100
+}
+
+// Beyond tells whether the demand of all regions is known to exceed the limit, so that no other region can help.
+func (r *Rate) Beyond(now time.Time) bool {
+	all, heard := r.fleetDemand(now)
+	return heard && all > r.limit*beyondFleet/100
+}
+
+// fleetDemand returns the demand here and in the regions heard of lately, and whether there are any.
+func (r *Rate) fleetDemand(now time.Time) (int64, bool) {
+	all, heard := r.demand.rate(now), false
 	for _, h := range r.heard {
 		if now.Sub(h.at) < heardLife {
 			all += h.demand
 			heard = true
 		}
 	}
-	return heard && all <= r.limit*keepsFleet/100
+	return all, heard
 }
 
 // Heard notes the demand at a host that gathers the shares of another region.
--- a/core/share/rate.go
+++ b/core/share/rate.go
@@ -13,6 +13,7 @@
 	recallParts  = 8   // a loan is recalled when the difference exceeds one part in so many of both rates
 	keepsPercent = 130 // share of its rate up to which demand counts as within it
 	keepsFleet   = 115 // share of the limit up to which the demand of all regions counts as within it
+	beyondFleet  = 150 // share of the limit above which the demand of all regions counts as beyond it
 	heardLife    = 1500 * time.Millisecond
 	shortPercent = 125 // share of its own demand below which a borrower asks
 	renewBefore  = 400 * time.Millisecond
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -282,6 +282,10 @@
 
 // A loan, subtracted from the lender's share before it was sent.
 type LoanGrant struct {
+	// True when the demand that the lender knows of, in all regions, exceeds the
+	// limit: asking elsewhere is pointless.
+	Beyond bool `json:"beyond" cbor:"beyond"`
+
 	// Burst lent, in millionths.
 	Burst int `json:"burst" cbor:"burst"`
 
--- a/io/loans/ask.go
+++ b/io/loans/ask.go
@@ -14,18 +14,19 @@
 )
 
 // spot takes what a request needs from one host: a loan of just that, given back spent at once.
-func (l *Loans) spot(ctx context.Context, q ident.Quantity, host ident.Host, n int64, patience time.Duration, again bool) bool {
+// When nothing was taken, beyond tells that demand is known to exceed the limit everywhere.
+func (l *Loans) spot(ctx context.Context, q ident.Quantity, host ident.Host, n int64, patience time.Duration, again bool) (taken, beyond bool) {
 	grant, ok := l.call(ctx, host, wire.LoanAsk{
 		Quantity: string(q), Burst: int(n), Tokens: int(n), TermMs: int(spotTerm / time.Millisecond),
 		PatienceMs: int(patience / time.Millisecond), Again: again,
 	})
 	if !ok || int64(grant.Tokens) < n {
 		l.noteAnswer(q, host, false)
-		return false
+		return false, ok && grant.Beyond
 	}
 	l.noteAnswer(q, host, grant.Spare > 0)
 	l.giveBack(ctx, q, []share.Loan{{Peer: host, Sequence: int64(grant.Sequence)}})
-	return true
+	return true, false
 }
 
 // call sends an ask and returns the grant.
--- a/io/loans/lend.go
+++ b/io/loans/lend.go
@@ -61,6 +61,7 @@
 		fill(grant, loan, ok)
 		grant.Spare = int(r.Spare(now))
 		grant.Demand = int(r.Demand(now))
+		grant.Beyond = r.Beyond(now)
 	})
 }
 
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -120,28 +120,37 @@
 	if l.await(ctx, q, n, shortWait) {
 		return nil
 	}
-	for _, host := range l.lenders(q) {
-		if l.spot(ctx, q, host, n, shortWait, false) {
-			return nil
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if l.last(ctx, q, n) {
+	if l.search(ctx, q, n) {
 		return nil
 	}
 	l.noteEmpty(q, n)
 	return l.refusal(q, n)
 }
 
+// search asks the peers in turn and then waits once more, unless demand is known to be beyond the limit.
+func (l *Loans) search(ctx context.Context, q ident.Quantity, n int64) bool {
+	beyond := false
+	l.seams.Book.Rate(q, func(r *share.Rate) { beyond = r.Beyond(l.seams.Now()) })
+	if beyond && l.gathers(q) {
+		return false
+	}
+	for _, host := range l.lenders(q) {
+		taken, beyond := l.spot(ctx, q, host, n, shortWait, false)
+		if taken || beyond || ctx.Err() != nil {
+			return taken
+		}
+	}
+	return l.last(ctx, q, n)
+}
+
 // last waits once more where the region's shares are, after no peer had anything.
 func (l *Loans) last(ctx context.Context, q ident.Quantity, n int64) bool {
 	near := gatherer(q, l.seams.Near())
 	if near == l.seams.Self {
 		return l.await(ctx, q, n, longestWait)
 	}
-	return l.spot(ctx, q, near, n, longestWait, true)
+	taken, _ := l.spot(ctx, q, near, n, longestWait, true)
+	return taken
 }
 
 // Exhausted returns after which time to come back when the fleet was just found to have nothing left, else zero.
--- a/io/loans/loans_test.go
+++ b/io/loans/loans_test.go
@@ -175,7 +175,9 @@
 type score struct {
 	offered, within, wrong int
 	waited                 time.Duration
-	over                   float64 // most tokens taken beyond the limit
+	refused                int
+	refusing               time.Duration // time until the refusals
+	over                   float64       // most tokens taken beyond the limit
 	bySecond               [runTime/time.Second + 1]int
 }
 
@@ -256,6 +258,10 @@
 			if err == nil && counted {
 				out.waited += time.Since(sent)
 			}
+			if err != nil && counted {
+				out.refused++
+				out.refusing += time.Since(sent)
+			}
 			if err == nil {
 				exact.tokens = min(teamBurst, exact.tokens+teamRate*time.Since(exact.at).Seconds()) - 1
 				exact.at = time.Now()
@@ -364,6 +370,12 @@
 			bySecond[i] += n
 		}
 	}
+	refused, refusing := 0, time.Duration(0)
+	for _, c := range scores {
+		refused += c.refused
+		refusing += c.refusing
+	}
+	t.Logf("%-16s mean time until a refusal %s", s.name, refusing/time.Duration(max(refused, 1)))
 	t.Logf("%-16s in-rate refusals by second: %v", s.name, bySecond)
 	t.Logf("%-16s static=%-5t in-rate refusals: worst team %.2f%%, best team %.2f%%, mean wait %s", s.name, static,
 		100*worst, 100*best, waited/time.Duration(max(offered, 1)))
