--- a/core/share/count.go
+++ b/core/share/count.go
@@ -152,15 +152,6 @@
 	return n
 }
 
-// Used returns how many requests hold slots of this share.
-func (c *Count) Used() int {
-	n := c.used
-	for _, b := range c.borrowed {
-		n += b.used
-	}
-	return n
-}
-
 // Settled tells whether a smaller base still covers the slots in use and lent.
 func (c *Count) Settled(now time.Time, slots int) bool {
 	c.settle(now)
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -172,28 +172,16 @@
 	// Requests that the sender is running.
 	InFlight int `json:"in-flight" cbor:"in-flight"`
 
-	// Configuration revision in force at each host that the sender speaks for.
-	Known HeartbeatKnown `json:"known" cbor:"known"`
-
 	// Configuration revision in force at the sender.
 	Revision int `json:"revision" cbor:"revision"`
-
-	// Sender's monotonic time of sending, in nanoseconds.
-	Sent int `json:"sent" cbor:"sent"`
 }
 
 // Answer to a heartbeat.
 type HeartbeatAck struct {
 	// Incarnation that is acknowledged.
 	Incarnation int `json:"incarnation" cbor:"incarnation"`
-
-	// The time in the heartbeat, echoed.
-	Sent int `json:"sent" cbor:"sent"`
 }
 
-// Configuration revision in force at each host that the sender speaks for.
-type HeartbeatKnown map[string]int
-
 // First frame on a link, in both directions.
 type Hello struct {
 	// Its availability zone.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -29,7 +29,6 @@
 type Seams struct {
 	Place    route.Place
 	Host     ident.Host
-	Address  string
 	Capacity int
 	Longest  time.Duration
 	Log      *slog.Logger
--- a/io/member/beat.go
+++ b/io/member/beat.go
@@ -72,5 +72,5 @@
 	if !m.lease.Load().MayAck(host, ident.Incarnation(peer.Incarnation)) {
 		return &wire.Frame{Fault: &wire.LinkFault{Reason: "no such seat"}}
 	}
-	return &wire.Frame{HeartbeatAck: &wire.HeartbeatAck{Sent: h.Sent, Incarnation: own}}
+	return &wire.Frame{HeartbeatAck: &wire.HeartbeatAck{Incarnation: own}}
 }
