Write the record's wire form and the return of slots once

Found by reading the whole change: outcomes were encoded in two places and decoded in three, unused slots were returned by two equal loops, and the load tool took a lock for nothing. Behaviour stays as it is.

--- a/io/load/load.go
+++ b/io/load/load.go
@@ -116,8 +116,6 @@
 	case <-done:
 	case <-time.After(settleTime):
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 }
 
 // team sends one team's requests at random times, whether or not earlier ones were answered.
--- a/io/loans/forecast.go
+++ b/io/loans/forecast.go
@@ -29,11 +29,7 @@
 	for _, q := range l.seams.Book.Quantities(share.KindRate) {
 		l.balance(ctx, q)
 	}
-	for _, q := range l.seams.Book.Quantities(share.KindCount) {
-		var loans []share.Loan
-		l.seams.Book.Count(q, func(c *share.Count) { loans = c.GiveBack(l.seams.Now()) })
-		l.giveBack(ctx, q, loans)
-	}
+	l.returnSlots(ctx)
 }
 
 // balance gives back unneeded loans of a rate, gathers when it is this host's turn, and borrows where demand is about
@@ -136,6 +132,11 @@
 		l.seams.Book.Rate(q, func(r *share.Rate) { loans = r.GiveBack(l.seams.Now(), true, false) })
 		l.giveBack(ctx, q, loans)
 	}
+	l.returnSlots(ctx)
+}
+
+// returnSlots gives back the borrowed slots that no request uses.
+func (l *Loans) returnSlots(ctx context.Context) {
 	for _, q := range l.seams.Book.Quantities(share.KindCount) {
 		var loans []share.Loan
 		l.seams.Book.Count(q, func(c *share.Count) { loans = c.GiveBack(l.seams.Now()) })
--- a/io/loans/lend.go
+++ b/io/loans/lend.go
@@ -10,22 +10,6 @@
 	"jayshift/core/wire"
 )
 
-// lendLater lends tokens to a peer's request once its turn has come.
-func (l *Loans) lendLater(ctx context.Context, q ident.Quantity, peer ident.Host, a *wire.LoanAsk, grant *wire.LoanGrant) {
-	patience := min(time.Duration(a.PatienceMs)*time.Millisecond, longestWait)
-	if !l.waitTurn(ctx, q, int64(a.Tokens), patience) {
-		return
-	}
-	now := l.seams.Now()
-	deadline, serving := l.deadline(now, a)
-	l.seams.Book.Rate(q, func(r *share.Rate) {
-		loan, ok := r.LendPromised(now, peer, int64(a.Tokens), deadline)
-		if serving {
-			fill(grant, loan, ok)
-		}
-	})
-}
-
 // Lend answers a peer's ask. The loan is subtracted before the answer leaves. An ask for tokens waits shortly for its
 // turn when the share is empty.
 func (l *Loans) Lend(ctx context.Context, peer ident.Host, a *wire.LoanAsk) *wire.Frame {
@@ -65,6 +49,22 @@
 	})
 }
 
+// lendLater lends tokens to a peer's request once its turn has come.
+func (l *Loans) lendLater(ctx context.Context, q ident.Quantity, peer ident.Host, a *wire.LoanAsk, grant *wire.LoanGrant) {
+	patience := min(time.Duration(a.PatienceMs)*time.Millisecond, longestWait)
+	if !l.waitTurn(ctx, q, int64(a.Tokens), patience) {
+		return
+	}
+	now := l.seams.Now()
+	deadline, serving := l.deadline(now, a)
+	l.seams.Book.Rate(q, func(r *share.Rate) {
+		loan, ok := r.LendPromised(now, peer, int64(a.Tokens), deadline)
+		if serving {
+			fill(grant, loan, ok)
+		}
+	})
+}
+
 // lendSlots lends slots, which may stay on loan longer than the lender's seat, since their next holder waits for the
 // longest request before it hands them out.
 func (l *Loans) lendSlots(q ident.Quantity, peer ident.Host, a *wire.LoanAsk, grant *wire.LoanGrant) {
--- a/io/runs/runs.go
+++ b/io/runs/runs.go
@@ -123,11 +123,7 @@
 
 // Finish records the outcome at the keepers, with a few tries each.
 func (run *Run) Finish(ctx context.Context, state once.State, outcome once.Outcome) {
-	run.tell(ctx, wire.Record{
-		Key: string(run.key), Step: stepFinish, Owner: string(run.owner), State: string(state),
-		Status: outcome.Status, Header: outcome.Header, Truncated: outcome.Truncated,
-		Body: base64.StdEncoding.EncodeToString(outcome.Body),
-	})
+	run.tell(ctx, frameOf(stepFinish, run.key, once.Record{State: state, Owner: run.owner, Outcome: outcome}))
 }
 
 // Cancel removes the record of a run that was certainly not run.
@@ -169,14 +165,11 @@
 	case stepStart:
 		return answerOf(r.seams.Ledger.Start(now, key, owner))
 	case stepFinish:
-		body, err := base64.StdEncoding.DecodeString(record.Body)
-		outcome := once.Outcome{Status: record.Status, Header: record.Header, Body: body, Truncated: record.Truncated || err != nil}
-		r.seams.Ledger.Finish(now, key, owner, once.State(record.State), outcome)
+		r.seams.Ledger.Finish(now, key, owner, once.State(record.State), outcomeOf(record.Status, record.Header, record.Body, record.Truncated))
 	case stepCancel:
 		r.seams.Ledger.Cancel(key, owner)
 	case stepCopy:
-		body, err := base64.StdEncoding.DecodeString(record.Body)
-		outcome := once.Outcome{Status: record.Status, Header: record.Header, Body: body, Truncated: record.Truncated || err != nil}
+		outcome := outcomeOf(record.Status, record.Header, record.Body, record.Truncated)
 		r.seams.Ledger.Copy(now, key, once.Record{State: once.State(record.State), Owner: owner, Outcome: outcome})
 	}
 	return &wire.RecordAnswer{}
@@ -204,11 +197,7 @@
 }
 
 func (r *Runs) copyRecord(ctx context.Context, now time.Time, key once.Key, record once.Record) bool {
-	frame := wire.Record{
-		Key: string(key), Step: stepCopy, Owner: string(record.Owner), State: string(record.State),
-		Status: record.Outcome.Status, Header: record.Outcome.Header, Truncated: record.Outcome.Truncated,
-		Body: base64.StdEncoding.EncodeToString(record.Outcome.Body),
-	}
+	frame := frameOf(stepCopy, key, record)
 	copies, keepers := 0, 0
 	for _, k := range seat.Keepers(now, seat.Without(r.seams.Table(), r.seams.Self), string(key)) {
 		if k.Gone {
@@ -224,6 +213,21 @@
 	return copies >= min(2, keepers)
 }
 
+// frameOf returns the step that tells a keeper of a record.
+func frameOf(step string, key once.Key, r once.Record) wire.Record {
+	return wire.Record{
+		Key: string(key), Step: step, Owner: string(r.Owner), State: string(r.State),
+		Status: r.Outcome.Status, Header: r.Outcome.Header, Truncated: r.Outcome.Truncated,
+		Body: base64.StdEncoding.EncodeToString(r.Outcome.Body),
+	}
+}
+
+// outcomeOf reads an outcome from its wire form; a body that cannot be read counts as not kept.
+func outcomeOf(status int, header map[string]string, text string, truncated bool) once.Outcome {
+	body, err := base64.StdEncoding.DecodeString(text)
+	return once.Outcome{Status: status, Header: header, Body: body, Truncated: truncated || err != nil}
+}
+
 func answerOf(r once.Record) *wire.RecordAnswer {
 	return &wire.RecordAnswer{
 		State: string(r.State), Owner: string(r.Owner), Status: r.Outcome.Status, Header: r.Outcome.Header,
@@ -232,9 +236,8 @@
 }
 
 func recordOf(a *wire.RecordAnswer) once.Record {
-	body, err := base64.StdEncoding.DecodeString(a.Body)
 	return once.Record{
 		State: once.State(a.State), Owner: once.Owner(a.Owner),
-		Outcome: once.Outcome{Status: a.Status, Header: a.Header, Body: body, Truncated: a.Truncated || err != nil},
+		Outcome: outcomeOf(a.Status, a.Header, a.Body, a.Truncated),
 	}
 }
