Do not count silence as a crash of the backend server

Cause: an attempt whose time ran out was to be no strike, but the check looked for a deadline error that the pool had turned into text, so it was never true; with the server out of reach, as behind a cut, each time-out was a strike, and two of them refused the request for good. Found by reading the whole change. Ruled out: a broken connection, which stays a strike and is told apart already.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -119,7 +119,7 @@
 	s.End(now, route.Lost, 0)
 	e.evidence(q, s, true, now.Sub(started))
 	e.seams.Pool.Refresh(s.Name)
-	if errors.Is(err, target.ErrBroken) || (q.ctx.Err() == nil && !e.timedOut(err) && !e.seams.Pool.Alive(q.ctx, s.Address)) {
+	if e.died(q, s, err) {
 		e.strike(q, s)
 	}
 	if q.ctx.Err() != nil {
@@ -128,7 +128,14 @@
 	return retry.Unknown, p
 }
 
-func (e *Entry) timedOut(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
+// died tells whether an attempt that gave no answer shows that the backend server went down. Silence does not: the way
+// there may be cut. A connection that was used before may have been closed at rest, so the server is looked at.
+func (e *Entry) died(q *request, s *route.Server, err error) bool {
+	if errors.Is(err, target.ErrBroken) {
+		return true
+	}
+	return errors.Is(err, target.ErrNoAnswer) && !e.seams.Pool.Alive(q.ctx, s.Address)
+}
 
 // strike notes that a backend server was lost while it ran the request, here and at the peers.
 func (e *Entry) strike(q *request, s *route.Server) {
--- a/io/host/once_test.go
+++ b/io/host/once_test.go
@@ -272,6 +272,38 @@
 	})
 }
 
+// TestSilenceIsNoStrike lets backend servers go silent and out of reach while they run a request, as a cut does:
+// that shows no crash, so the request is not refused as poison.
+func TestSilenceIsNoStrike(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var list []wire.Resource
+	for i := range 8 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/health" {
+				_, _ = io.WriteString(w, `{"status":"ok"}`)
+				return
+			}
+			_ = l.Close() // the connection stays, new ones are refused
+			<-r.Context().Done()
+		})}
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { _ = server.Close() })
+		list = append(list, wire.Resource{Kind: "backend-server", Name: fmt.Sprintf("silent-%d", i), BackendServer: &wire.BackendServer{
+			Service: "whistle", Version: "v1", AvailabilityZone: "zone-1a", Address: l.Addr().String(), Slots: 1,
+		}})
+	}
+	f, key, _ := start(t, fleet.Options{Hosts: 1, Regions: 1, Services: []fleet.Service{
+		{Name: "whistle", Versions: []string{"v1"}, Act: act(1), DeadlineMs: 800},
+	}}, list...)
+	for range 8 {
+		got := read(key, "/whistle/read/1").send(http.DefaultClient, f.Entries()[0])
+		is.True(got.status >= http.StatusInternalServerError) // no answer, but no verdict against the request either
+	}
+}
+
 // TestRetryBudget lets every backend server shed: the requests that reach them stay within the budget.
 func TestRetryBudget(t *testing.T) {
 	t.Parallel()
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -32,8 +32,11 @@
 var (
 	// ErrNotSent means that no byte of the request left for the backend server.
 	ErrNotSent = merry.Sentinel("target: request not sent")
-	// ErrNoAnswer means that the request left and no answer came; the backend server may have run it.
+	// ErrNoAnswer means that a connection used before broke before an answer came; the backend server may have run the request.
 	ErrNoAnswer = merry.Sentinel("target: no answer")
+	// ErrSilent means that the request left and its time ran out, or its caller went, before an answer came;
+	// the backend server may still run it.
+	ErrSilent = merry.Sentinel("target: silent")
 	// ErrBroken means that a connection opened for the request broke before an answer came;
 	// the backend server may have run the request, and may have died of it.
 	ErrBroken = merry.Sentinel("target: connection broken")
@@ -105,7 +108,7 @@
 }
 
 // Do sends a request to a backend server and returns the start of its answer.
-// The error is ErrNotSent when certainly no byte left, else ErrNoAnswer or ErrBroken.
+// The error is ErrNotSent when certainly no byte left, else ErrSilent, ErrNoAnswer or ErrBroken.
 func (p *Pool) Do(name ident.BackendServer, r *http.Request) (*http.Response, error) {
 	t := p.target(name)
 	if t == nil {
@@ -123,7 +126,9 @@
 		return response, nil
 	case !sent.Load():
 		return nil, merry.Prepend(ErrNotSent, err.Error())
-	case reused.Load() || r.Context().Err() != nil:
+	case r.Context().Err() != nil:
+		return nil, merry.Prepend(ErrSilent, err.Error())
+	case reused.Load():
 		return nil, merry.Prepend(ErrNoAnswer, err.Error())
 	}
 	return nil, merry.Prepend(ErrBroken, err.Error())
