--- /dev/null
+++ b/cmd/jayshift/edge.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"os"
+	"runtime/debug"
+
+	"jayshift/io/node"
+	"jayshift/io/serve"
+	"jayshift/io/setup"
+	"jayshift/platform"
+)
+
+const (
+	megabyte   = 1 << 20
+	memoryPart = 0.8 // of the memory that the process may use, at which the collector works harder
+)
+
+type edgeCommand struct {
+	Config string `help:"Settings file in INI form." required:"" env:"JAYSHIFT_CONFIG"`
+}
+
+// Run serves until the process is told to stop.
+func (c *edgeCommand) Run() error {
+	settings, err := setup.ReadEdge(c.Config)
+	if err != nil {
+		return err
+	}
+	bounds, err := platform.ParseBounds(settings.Bounds)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryMB) * megabyte))
+	n, err := node.New(settings, node.Platform{
+		Store: platform.NewStore(settings.Store, settings.StorePause), Dialect: platform.Dialect(),
+		Decode: platform.Decode, Encode: platform.EncodeVerdict, Directory: platform.Directory, Ready: platform.Ready,
+		RetryShare: bounds.RetryShare, RetrySlack: bounds.RetrySlack, Grace: bounds.Grace, AnswerLife: bounds.AnswerLife,
+	}, serve.NewLog(os.Stdout, settings.Level))
+	if err != nil {
+		return err
+	}
+	return n.Run()
+}
--- a/cmd/jayshift/entry.go
+++ b/cmd/jayshift/entry.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"jayshift/io/host"
+	"jayshift/io/serve"
 	"jayshift/io/setup"
 )
 
@@ -32,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	h, err := host.New(settings, host.NewLog(os.Stderr, settings.Level))
+	h, err := host.New(settings, serve.NewLog(os.Stderr, settings.Level))
 	if err != nil {
 		return err
 	}
--- a/cmd/jayshift/main.go
+++ b/cmd/jayshift/main.go
@@ -14,6 +14,7 @@
 	Authority string `help:"PEM file of the authorities to check the host's certificate against; turns TLS on." type:"existingfile" env:"JAYSHIFT_AUTHORITY"`
 
 	Entry  entryCommand  `cmd:"" help:"Run an entry host."`
+	Edge   edgeCommand   `cmd:"" help:"Run an edge host, on a platform where operators write to the store themselves."`
 	Apply  applyCommand  `cmd:"" help:"Write resources from files, all or none, and wait until they are in force."`
 	Get    getCommand    `cmd:"" help:"Print resources."`
 	Watch  watchCommand  `cmd:"" help:"Follow a resource until it is in force, done or reverted."`
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -28,6 +28,12 @@
 // Shift is the name of a duty shift.
 type Shift string
 
+// Route is the name of a route.
+type Route string
+
+// Object identifies what a request is about; requests on the same object run faster on the same backend server.
+type Object string
+
 // Site is the name of a place that client blocks are steered to.
 type Site string
 
--- /dev/null
+++ b/core/place/place.go
@@ -0,0 +1,318 @@
+// Package place decides which backend server runs a request. It answers a load in which the servers of a service are
+// nearly full all day, run an object they know several times faster, and are used by hosts that do not talk about it.
+//
+// Each choice is given a cost in time: the wait for a slot, the run, the way there, and what the weights add. Hosts
+// agree on where an object lives by rendezvous hashing over the servers of a group: the own zone, the rest of the own
+// region, and each other region. A longer queue there outweighs the faster run.
+package place
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jayshift/core/ident"
+	"jayshift/core/roster"
+)
+
+// Place is where a host stands.
+type Place struct {
+	Zone   ident.AvailabilityZone
+	Region ident.Region
+}
+
+// Load is what a backend server says of itself in an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// Result is how an attempt ended.
+type Result int
+
+// Results of attempts.
+const (
+	Answered    Result = iota // with an answer that is no failure
+	Failed                    // with a failure of the server's own
+	Shed                      // refused by the server and not run
+	Unreachable               // no connection came about
+	Broken                    // the connection broke after the request was sent
+	Silent                    // no answer came in time
+	Abandoned                 // the caller left
+	Misdirected               // another process answered at the address
+)
+
+// Outcome is what an attempt showed of its server.
+type Outcome struct {
+	Result Result
+	Load   *Load // nil when the answer did not say
+	// Connected is how long a new connection took to open, zero when one was used again.
+	Connected time.Duration
+}
+
+// Query is what a request asks of a pick.
+type Query struct {
+	Service  ident.Service
+	Version  ident.Version // the only one allowed, empty for any
+	Route    ident.Route
+	Object   ident.Object // empty when it does not matter where the request runs
+	Aim      time.Duration
+	Rank     int // 0 for the most urgent among those that share the servers
+	Bytes    float64
+	Deadline time.Time
+	Homes    []ident.Region // regions where the request may run, when Limited
+	Limited  bool
+	Tried    []ident.BackendServer
+}
+
+// Settings are what a board knows from the start.
+type Settings struct {
+	Place   Place
+	Weights Weights
+	// Warms tells whether this host is the one that sends requests to the server while it is cold.
+	Warms func(ident.BackendServer) bool
+}
+
+// Board holds the backend servers of all services.
+type Board struct {
+	settings Settings
+
+	mu     sync.RWMutex
+	shards map[ident.Service]*shard
+}
+
+// shard holds the backend servers of one service.
+type shard struct {
+	mu      sync.Mutex
+	servers []*server
+	works   map[ident.Route]*work
+	mean    time.Duration // of all runs
+}
+
+// New returns a board without servers.
+func New(s Settings) *Board {
+	return &Board{settings: s, shards: map[ident.Service]*shard{}}
+}
+
+// Update takes in the servers that may be used now, with the rate that cold servers of each service bear. What is
+// known of processes that remain is kept.
+func (b *Board) Update(list []roster.Entry, coldRate func(ident.Service) float64) {
+	byService := map[ident.Service][]roster.Entry{}
+	for _, e := range list {
+		byService[e.Service] = append(byService[e.Service], e)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service := range byService {
+		if b.shards[service] == nil {
+			b.shards[service] = &shard{works: map[ident.Route]*work{}}
+		}
+	}
+	for service, s := range b.shards {
+		s.update(byService[service], coldRate(service))
+	}
+}
+
+func (s *shard) update(list []roster.Entry, coldRate float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := map[ident.BackendServer]*server{}
+	for _, old := range s.servers {
+		known[old.ID] = old
+	}
+	s.servers = s.servers[:0]
+	for _, e := range list {
+		old := known[e.ID]
+		if old == nil || old.Born != e.Born || old.Address != e.Address {
+			s.servers = append(s.servers, newServer(e, coldRate))
+			continue
+		}
+		slots := old.Slots
+		old.Entry, old.coldRate = e, coldRate
+		if !old.reported.IsZero() {
+			old.Slots = slots // what answers state is newer
+		}
+		s.servers = append(s.servers, old)
+	}
+}
+
+func (b *Board) shard(service ident.Service) *shard {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.shards[service]
+}
+
+// Pick returns the server that runs the request at the least cost, or when to come back if none can.
+func (b *Board) Pick(now time.Time, q Query) (*Ticket, *Refusal) {
+	s := b.shard(q.Service)
+	if s == nil {
+		return nil, &Refusal{Reason: NoServer, After: noServerAfter}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best, refusal := s.cheapest(now, q, &b.settings)
+	if best.server == nil {
+		return nil, refusal
+	}
+	return s.take(now, q, best), nil
+}
+
+// candidate is a server with what a choice of it would cost.
+type candidate struct {
+	server *server
+	cost   time.Duration
+	run    time.Duration // of it, without the wait and the way
+	wait   time.Duration
+	warm   bool // by what this host ran there, or since the object lives there
+	known  bool // by what this host ran there
+}
+
+// cheapest compares all servers that may run the request. The shard is locked.
+func (s *shard) cheapest(now time.Time, q Query, settings *Settings) (candidate, *Refusal) {
+	var best, resort candidate
+	refusal := &Refusal{Reason: NoServer, After: noServerAfter}
+	lives := s.homes(now, q, settings.Place)
+	w := s.workOf(q.Route)
+	for _, v := range s.servers {
+		if !v.suits(q) {
+			continue
+		}
+		v.faded(now)
+		c := s.weigh(now, q, settings, v, w, lives)
+		if reason, after := s.excludes(now, q, settings, c); reason != "" {
+			refusal.add(reason, after)
+			continue
+		}
+		if now.Before(v.paused) || v.probing {
+			if !v.probing && (resort.server == nil || v.paused.Before(resort.server.paused)) {
+				resort = c
+			}
+			continue
+		}
+		if best.server == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	if best.server == nil {
+		best = resort // all are paused: the one that waited longest may work again
+	}
+	return best, refusal
+}
+
+// suits tells whether the server may ever run the request.
+func (s *server) suits(q Query) bool {
+	if s.Draining || s.gone || q.Version != "" && s.Version != q.Version {
+		return false
+	}
+	if q.Limited && !slices.Contains(q.Homes, s.Region) {
+		return false
+	}
+	return !slices.Contains(q.Tried, s.ID)
+}
+
+// weigh works out what a choice of the server costs.
+func (s *shard) weigh(now time.Time, q Query, settings *Settings, v *server, w *work, lives []*server) candidate {
+	c := candidate{server: v}
+	c.known = q.Object == "" || v.knows(now, q.Object)
+	c.warm = c.known || slices.Contains(lives, v)
+	c.run = time.Duration(v.slow * float64(w.expected(c.warm, q.Aim)))
+	if v.isCold(now) {
+		c.run *= 2
+	}
+	c.wait = v.wait(s.meanWork(c.run))
+	c.cost = c.wait + c.run + settings.Weights.way(settings.Place, v, q.Bytes)
+	c.cost += time.Duration(v.failing * float64(settings.Weights.Failure))
+	c.cost += time.Duration(rand.Int64N(int64(time.Millisecond))) // spreads equal choices
+	return c
+}
+
+func (s *shard) meanWork(fallback time.Duration) time.Duration {
+	if s.mean == 0 {
+		return fallback
+	}
+	return s.mean
+}
+
+// excludes returns why the server cannot take the request now, and when it may.
+func (s *shard) excludes(now time.Time, q Query, settings *Settings, c candidate) (Reason, time.Duration) {
+	v := c.server
+	room := float64(v.Slots) * (1 + settings.Weights.Queue/float64(1+q.Rank))
+	if over := v.load() + 1 - room; over > 0 {
+		return Full, time.Duration(over * float64(s.meanWork(c.run)) / float64(v.Slots))
+	}
+	if over := now.Add(c.wait + c.run).Sub(q.Deadline); over > 0 {
+		return Late, over
+	}
+	if v.isCold(now) && (!settings.Warms(v.ID) || !v.coldRoom(now)) {
+		return Cold, v.ColdUntil.Sub(now)
+	}
+	return "", 0
+}
+
+// homes returns the servers where the object lives, one for each group: the own zone, the rest of the own region, and
+// each other region.
+func (s *shard) homes(now time.Time, q Query, from Place) []*server {
+	if q.Object == "" {
+		return nil
+	}
+	type best struct {
+		server *server
+		score  uint64
+	}
+	object := xxhash.Sum64String(string(q.Object))
+	groups := map[string]best{}
+	for _, v := range s.servers {
+		if !v.suits(Query{Version: q.Version, Homes: q.Homes, Limited: q.Limited}) || v.isCold(now) {
+			continue
+		}
+		group := groupOf(v, from)
+		score := mix(object ^ v.hash)
+		if g, ok := groups[group]; !ok || score > g.score {
+			groups[group] = best{v, score}
+		}
+	}
+	list := make([]*server, 0, len(groups))
+	for _, g := range groups {
+		list = append(list, g.server)
+	}
+	return list
+}
+
+func groupOf(s *server, from Place) string {
+	if s.Region == from.Region {
+		return string(s.Zone)
+	}
+	return "region " + string(s.Region)
+}
+
+// mix spreads the bits of a hash, so that scores of one object at several servers are independent.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+func (s *shard) workOf(r ident.Route) *work {
+	w := s.works[r]
+	if w == nil {
+		w = &work{}
+		s.works[r] = w
+	}
+	return w
+}
+
+// Check tells whether a pick would find a server now, without taking a place there; nil when it would.
+func (b *Board) Check(now time.Time, q Query) *Refusal {
+	s := b.shard(q.Service)
+	if s == nil {
+		return &Refusal{Reason: NoServer, After: noServerAfter}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if best, refusal := s.cheapest(now, q, &b.settings); best.server == nil {
+		return refusal
+	}
+	return nil
+}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -24,6 +24,9 @@
 
 // List counts the backend servers lost to each fingerprint, in shards with a lock each.
 type List struct {
+	// Strikes is how many backend servers a request must have taken down to be refused for good.
+	Strikes int
+
 	shards [shardCount]shard
 }
 
@@ -41,7 +44,7 @@
 
 // New returns an empty list.
 func New() *List {
-	l := &List{}
+	l := &List{Strikes: strikesOut}
 	for i := range l.shards {
 		l.shards[i].prints = map[Print]*strikes{}
 		l.shards[i].good = [2]map[uint64]bool{{}, {}}
@@ -121,5 +124,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k, ok := s.prints[p]
-	return ok && now.Before(k.until) && len(k.servers) >= strikesOut
+	return ok && now.Before(k.until) && len(k.servers) >= l.Strikes
 }
--- /dev/null
+++ b/core/quota/quota.go
@@ -0,0 +1,267 @@
+// Package quota keeps teams within their rates over all hosts, although each host counts alone.
+//
+// Hosts share a team's rate in proportion to the demand that they state in their heartbeats. A host counts growth of its
+// own demand only one heartbeat after it was sent, when its peers have given way, and a fall at once; so the parts do not
+// add up to more than the rate for longer than one lost heartbeat. A host that hears too few peers keeps to a floor, and
+// the peers leave the floor of a host that they do not hear unused.
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"jayshift/core/ident"
+)
+
+const (
+	floorPart    = 0.35            // of a rate, cut equally among the hosts, for those that are cut off
+	idlePart     = 0.02            // of a rate, cut equally among the hosts, for those without demand
+	demandMemory = 1 * time.Second // time constant of a host's demand
+	leastDemand  = 0.05            // requests a second that count as none
+	lostHosts    = 20 * time.Second
+	unknownHosts = 20 // assumed until the host knows its peers
+)
+
+// Rate is what a team may ask of all hosts together.
+type Rate struct {
+	PerSecond float64 // 0 for no limit
+	Burst     float64
+}
+
+// Book counts the requests of all teams at this host.
+type Book struct {
+	// Isolation is the silence after which a peer does not count as heard. Its part of the demand is given to others
+	// only after Takeover, which is longer, so that a host that is cut off has kept to its floor before.
+	Isolation time.Duration
+	Takeover  time.Duration
+
+	mu    sync.Mutex
+	teams map[ident.Team]*account
+	peers map[ident.Host]*peer
+	known bool // the peers were named once
+}
+
+// account is what the host holds of one team's rate.
+type account struct {
+	rate     Rate
+	demand   float64   // requests a second asked of this host
+	asked    float64   // since counted
+	counted  time.Time // when the demand was last worked out
+	stated   float64   // demand in the last heartbeat
+	agreed   float64   // demand that the peers have certainly seen
+	tokens   float64
+	part     float64 // of the rate, from 0 to 1
+	refilled time.Time
+}
+
+type peer struct {
+	demand map[ident.Team]float64
+	named  time.Time
+	heard  time.Time
+	down   bool // known to have ended, or to have lost its lease
+}
+
+// New returns a book of a host that knows no peers yet.
+func New(isolation, takeover time.Duration) *Book {
+	return &Book{
+		Isolation: isolation, Takeover: takeover,
+		teams: map[ident.Team]*account{}, peers: map[ident.Host]*peer{},
+	}
+}
+
+// SetRates takes in the rates of all teams. A new account starts empty, since an earlier process of this host may have
+// used what it had.
+func (b *Book) SetRates(now time.Time, rates map[ident.Team]Rate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for team := range b.teams {
+		if _, ok := rates[team]; !ok {
+			delete(b.teams, team)
+		}
+	}
+	for team, rate := range rates {
+		a := b.teams[team]
+		if a == nil {
+			a = &account{counted: now, refilled: now}
+			b.teams[team] = a
+		}
+		a.rate = rate
+	}
+	b.share(now)
+}
+
+// Take counts a request of the team. If the host's part is used up it returns false and when to come back.
+func (b *Book) Take(now time.Time, team ident.Team) (ok bool, after time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.teams[team]
+	if a == nil || a.rate.PerSecond <= 0 {
+		return true, 0
+	}
+	a.asked++
+	a.refill(now)
+	if a.tokens >= 1 {
+		a.tokens--
+		return true, 0
+	}
+	perSecond := max(a.part*a.rate.PerSecond, leastDemand)
+	return false, time.Duration((1 - a.tokens) / perSecond * float64(time.Second))
+}
+
+// Return gives back what a request took that was not sent to any backend server.
+func (b *Book) Return(team ident.Team) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a := b.teams[team]; a != nil {
+		a.tokens++
+	}
+}
+
+func (a *account) refill(now time.Time) {
+	elapsed := now.Sub(a.refilled).Seconds()
+	a.refilled = now
+	a.tokens = min(a.tokens+elapsed*a.part*a.rate.PerSecond, max(1, a.part*a.rate.Burst))
+}
+
+// Heartbeat works out the demand of each team for the host's next heartbeat.
+func (b *Book) Heartbeat(now time.Time) map[ident.Team]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	demands := map[ident.Team]float64{}
+	for team, a := range b.teams {
+		a.count(now)
+		a.agreed = min(a.stated, a.demand)
+		a.stated = a.demand
+		if a.demand > leastDemand {
+			demands[team] = a.demand
+		}
+	}
+	b.share(now)
+	return demands
+}
+
+func (a *account) count(now time.Time) {
+	elapsed := now.Sub(a.counted)
+	if elapsed <= 0 {
+		return
+	}
+	keep := math.Exp(-float64(elapsed) / float64(demandMemory))
+	a.demand = keep*a.demand + (1-keep)*a.asked/elapsed.Seconds()
+	a.asked = 0
+	a.counted = now
+}
+
+// SetPeers names the other hosts that hold a lease. Those that are not named any more count as down, although they may
+// go on without their lease.
+func (b *Book) SetPeers(now time.Time, hosts []ident.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.known = true
+	named := map[ident.Host]bool{}
+	for _, host := range hosts {
+		named[host] = true
+		p := b.peer(host)
+		p.named = now
+		p.down = false
+	}
+	for host, p := range b.peers {
+		p.down = p.down || !named[host]
+	}
+	b.share(now)
+}
+
+func (b *Book) peer(host ident.Host) *peer {
+	p := b.peers[host]
+	if p == nil {
+		p = &peer{}
+		b.peers[host] = p
+	}
+	return p
+}
+
+// Heard takes in the demand that a peer states.
+func (b *Book) Heard(now time.Time, host ident.Host, demand map[ident.Team]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.peer(host)
+	p.demand, p.heard, p.down = demand, now, false
+	b.share(now)
+}
+
+// Down notes that a peer's process seems to have ended.
+func (b *Book) Down(now time.Time, host ident.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.peers[host]; p != nil {
+		p.down = true
+		b.share(now)
+	}
+}
+
+// Left notes that a host has stopped for good and uses nothing any more.
+func (b *Book) Left(now time.Time, host ident.Host) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.peers, host)
+	b.share(now)
+}
+
+// share works out the host's part of each team's rate.
+func (b *Book) share(now time.Time) {
+	b.forget(now)
+	hosts := float64(len(b.peers) + 1)
+	if !b.known {
+		hosts = max(hosts, unknownHosts)
+	}
+	isolated, lost := b.reach(now)
+	free := 1 - idlePart - lost*floorPart/hosts
+	for team, a := range b.teams {
+		a.refill(now)
+		a.part = floorPart / hosts
+		if !isolated {
+			a.part = idlePart/hosts + free*b.demandPart(now, team, a, hosts)
+		}
+		a.tokens = min(a.tokens, max(1, a.part*a.rate.Burst))
+	}
+}
+
+func (b *Book) forget(now time.Time) {
+	for host, p := range b.peers {
+		if now.Sub(p.heard) > lostHosts && now.Sub(p.named) > lostHosts {
+			delete(b.peers, host)
+		}
+	}
+}
+
+// reach tells whether the host hears so few of its peers that the others may count it as lost, and how many peers
+// are silent.
+func (b *Book) reach(now time.Time) (isolated bool, silent float64) {
+	heard, counted := 1, 1
+	for _, p := range b.peers {
+		if now.Sub(p.heard) <= b.Isolation {
+			heard++
+			counted++
+			continue
+		}
+		silent++
+		if !p.down {
+			counted++
+		}
+	}
+	return !b.known || counted > 1 && 2*heard <= counted, silent
+}
+
+// demandPart returns this host's part of the demand of all hosts, equal parts when there is none.
+func (b *Book) demandPart(now time.Time, team ident.Team, a *account, hosts float64) float64 {
+	sum := a.agreed
+	for _, p := range b.peers {
+		if now.Sub(p.heard) <= b.Takeover {
+			sum += p.demand[team]
+		}
+	}
+	if sum < leastDemand {
+		return 1 / hosts
+	}
+	return a.agreed / sum
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,231 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayshift/core/ident"
+	"jayshift/core/quota"
+)
+
+const (
+	isolation = 1500 * time.Millisecond
+	takeover  = 3 * time.Second
+	heartbeat = 500 * time.Millisecond
+	step      = 10 * time.Millisecond
+	window    = 5 * time.Second
+	team      = ident.Team("north")
+)
+
+var start = time.UnixMilli(1_000_000)
+
+// world is hosts with their books, heartbeats that take a while, and a count of what was let through.
+type world struct {
+	now     time.Time
+	rate    quota.Rate
+	books   []*quota.Book
+	dead    []bool
+	cut     []bool
+	arrive  []float64 // requests a second at each host
+	due     []float64
+	mail    []letter
+	passed  []time.Time
+	refused int
+	asked   int
+	random  *rand.Rand
+}
+
+type letter struct {
+	at       time.Time
+	from, to int
+	demand   map[ident.Team]float64
+}
+
+func newWorld(hosts int, rate quota.Rate, seed uint64) *world {
+	w := &world{now: start, rate: rate, random: rand.New(rand.NewPCG(seed, 1))}
+	w.books = make([]*quota.Book, hosts)
+	for i := range hosts {
+		w.books[i] = w.newBook(i)
+	}
+	w.dead = make([]bool, hosts)
+	w.cut = make([]bool, hosts)
+	w.arrive = make([]float64, hosts)
+	w.due = make([]float64, hosts)
+	return w
+}
+
+func (w *world) others(self int) []ident.Host {
+	var list []ident.Host
+	for i := range w.books {
+		if i != self {
+			list = append(list, ident.Host(fmt.Sprint(i)))
+		}
+	}
+	return list
+}
+
+func (w *world) newBook(self int) *quota.Book {
+	b := quota.New(isolation, takeover)
+	b.SetRates(w.now, map[ident.Team]quota.Rate{team: w.rate})
+	b.SetPeers(w.now, w.others(self))
+	return b
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
+		w.deliver()
+		for i := range w.books {
+			if !w.dead[i] {
+				w.requests(i)
+				w.beat(i)
+			}
+		}
+	}
+}
+
+func (w *world) deliver() {
+	kept := w.mail[:0]
+	for _, l := range w.mail {
+		if l.at.After(w.now) {
+			kept = append(kept, l)
+			continue
+		}
+		if !w.dead[l.to] && !w.cut[l.from] && !w.cut[l.to] {
+			w.books[l.to].Heard(w.now, ident.Host(fmt.Sprint(l.from)), l.demand)
+		}
+	}
+	w.mail = kept
+}
+
+func (w *world) requests(i int) {
+	w.due[i] += w.arrive[i] * step.Seconds() * 2 * w.random.Float64()
+	for ; w.due[i] >= 1; w.due[i]-- {
+		w.asked++
+		if ok, _ := w.books[i].Take(w.now, team); ok {
+			w.passed = append(w.passed, w.now)
+			continue
+		}
+		w.refused++
+	}
+}
+
+func (w *world) beat(i int) {
+	if w.now.Sub(start)%heartbeat != time.Duration(i)*step%heartbeat {
+		return
+	}
+	demand := w.books[i].Heartbeat(w.now)
+	for to := range w.books {
+		if to != i {
+			delay := time.Duration(1+w.random.IntN(60)) * time.Millisecond
+			w.mail = append(w.mail, letter{w.now.Add(delay), i, to, demand})
+		}
+	}
+}
+
+// most returns the highest count of passed requests in any window.
+func (w *world) most() int {
+	most, first := 0, 0
+	for i, at := range w.passed {
+		for at.Sub(w.passed[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (w *world) bound() float64 {
+	return (w.rate.PerSecond*window.Seconds()+w.rate.Burst)*1.1 + 20
+}
+
+func (w *world) spread(total float64, parts ...float64) {
+	for i := range w.arrive {
+		w.arrive[i] = total * parts[i%len(parts)]
+	}
+}
+
+var rate = quota.Rate{PerSecond: 200, Burst: 200}
+
+// TestNeverBeyond plays shifting demand, kills, restarts and cuts, and holds all hosts together to the rate.
+func TestNeverBeyond(t *testing.T) {
+	for seed := range uint64(200) {
+		w := newWorld(10, rate, seed)
+		for range 20 {
+			for i := range w.arrive {
+				w.arrive[i] = 150 * w.random.Float64() * w.random.Float64()
+			}
+			i := w.random.IntN(len(w.books))
+			switch w.random.IntN(4) {
+			case 0:
+				w.dead[i] = true
+			case 1:
+				w.dead[i] = false
+				w.books[i] = w.newBook(i)
+			case 2:
+				w.cut[i] = true
+			case 3:
+				w.cut[i] = false
+			}
+			w.run(time.Duration(500+w.random.IntN(2500)) * time.Millisecond)
+		}
+		if float64(w.most()) > w.bound() {
+			t.Errorf("seed %d: %d requests in a window, at most %.0f allowed", seed, w.most(), w.bound())
+		}
+	}
+}
+
+// TestWithinTheRate holds what is refused of a team that stays within its rate to the stated aim of 0.1%.
+func TestWithinTheRate(t *testing.T) {
+	for name, parts := range map[string][]float64{
+		"even":   {0.1},
+		"skewed": {0.2667, 0.2667, 0.2667, 0.0286, 0.0286, 0.0286, 0.0286, 0.0286, 0.0286, 0.0286},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(200) {
+				w := newWorld(10, rate, seed)
+				w.spread(0.9*rate.PerSecond, parts...)
+				w.run(4 * time.Second)
+				w.refused, w.asked = 0, 0
+				w.run(20 * time.Second)
+				if float64(w.refused) > 0.001*float64(w.asked) {
+					t.Errorf("seed %d: %d of %d refused", seed, w.refused, w.asked)
+				}
+			}
+		})
+	}
+}
+
+// TestAfterKill holds refusals from two seconds after a host died, its callers gone to the others, to the same aim.
+func TestAfterKill(t *testing.T) {
+	for seed := range uint64(200) {
+		w := newWorld(10, rate, seed)
+		w.spread(0.9*rate.PerSecond, 0.1)
+		w.run(6 * time.Second)
+		w.dead[3], w.arrive[3] = true, 0
+		for i := range w.arrive {
+			if i != 3 {
+				w.arrive[i] = 0.9 * rate.PerSecond / 9
+			}
+		}
+		w.run(2 * time.Second)
+		w.refused, w.asked = 0, 0
+		w.run(20 * time.Second)
+		if float64(w.refused) > 0.001*float64(w.asked) {
+			t.Errorf("seed %d: %d of %d refused", seed, w.refused, w.asked)
+		}
+	}
+}
+
+func TestNoLimit(t *testing.T) {
+	is := is.New(t)
+	b := quota.New(isolation, takeover)
+	b.SetRates(start, map[ident.Team]quota.Rate{"free": {}})
+	ok, _ := b.Take(start, "free")
+	is.True(ok)
+	ok, _ = b.Take(start, "unknown")
+	is.True(ok)
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -27,16 +27,35 @@
 type Budget struct {
 	mu    sync.Mutex
 	saved float64
+	share float64
+	most  float64
 }
 
 // NewBudget returns a budget with a few retries saved.
-func NewBudget() *Budget { return &Budget{saved: budgetStart} }
+func NewBudget() *Budget { return &Budget{saved: budgetStart, share: budgetShare, most: budgetMost} }
+
+// NewSharedBudget returns a host's part of a budget for all hosts together: each first attempt earns a share of a
+// retry, and so many can be saved up.
+func NewSharedBudget(share, most float64) *Budget {
+	return &Budget{saved: most, share: share, most: most}
+}
+
+// SetMost replaces how many retries can be saved up.
+func (b *Budget) SetMost(most float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.most = most
+	b.saved = min(b.saved, most)
+}
+
+// Spend takes one retry from the budget, and tells whether there was one.
+func (b *Budget) Spend() bool { return b.spend() }
 
 // First counts a first attempt, which earns a share of a retry.
 func (b *Budget) First() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(b.saved+budgetShare, budgetMost)
+	b.saved = min(b.saved+b.share, b.most)
 }
 
 func (b *Budget) spend() bool {
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -41,6 +41,18 @@
 // Site for each address prefix in CIDR form.
 type ClientBlocksBlocks map[string]string
 
+// What a host knows of the platform store.
+type Copy struct {
+	// True when all keys are listed; else only changes.
+	Full bool `json:"full" cbor:"full"`
+
+	// Keys that are set, or that changed.
+	Items []Item `json:"items,omitempty,omitzero" cbor:"items,omitempty"`
+
+	// Store revision up to which the list is complete.
+	Revision int `json:"revision" cbor:"revision"`
+}
+
 // Configuration changes between two revisions.
 type Delta struct {
 	// Revision that the changes apply to; zero for a full copy.
@@ -62,6 +74,51 @@
 	Target string `json:"target" cbor:"target"`
 }
 
+// What an edge host states of itself in the platform store, under a lease.
+type Edge struct {
+	// Availability zone of the host.
+	AvailabilityZone string `json:"availability-zone" cbor:"availability-zone"`
+
+	// Address that callers use.
+	CallerAddress string `json:"caller-address" cbor:"caller-address"`
+
+	// Start number of the process.
+	Incarnation int `json:"incarnation" cbor:"incarnation"`
+
+	// Address that its peers dial.
+	LinkAddress string `json:"link-address" cbor:"link-address"`
+
+	// Its region.
+	Region string `json:"region" cbor:"region"`
+}
+
+// Heartbeat of an edge host to its peers.
+type EdgeHeartbeat struct {
+	// Requests a second that each team asks of the host.
+	Demand EdgeHeartbeatDemand `json:"demand,omitempty,omitzero" cbor:"demand,omitempty"`
+
+	// True once the host was told to stop.
+	Leaving bool `json:"leaving" cbor:"leaving"`
+
+	// Requests running on replaced backend versions, by service.
+	Old EdgeHeartbeatOld `json:"old,omitempty,omitzero" cbor:"old,omitempty"`
+
+	// True while the host takes new callers.
+	Ready bool `json:"ready" cbor:"ready"`
+
+	// Store revision that the host knows to be complete.
+	Revision int `json:"revision" cbor:"revision"`
+
+	// Version of the configuration in force at the host.
+	Version int `json:"version" cbor:"version"`
+}
+
+// Requests a second that each team asks of the host.
+type EdgeHeartbeatDemand map[string]float64
+
+// Requests running on replaced backend versions, by service.
+type EdgeHeartbeatOld map[string]int
+
 // Outcomes of a backend version on one route at one host.
 type Evidence struct {
 	// Requests failed.
@@ -94,9 +151,15 @@
 	// Number of the call that this frame asks or answers, zero for none.
 	Call int `json:"call" cbor:"call"`
 
+	// Copy corresponds to the JSON schema field "copy".
+	Copy *Copy `json:"copy,omitempty,omitzero" cbor:"copy,omitempty"`
+
 	// Delta corresponds to the JSON schema field "delta".
 	Delta *Delta `json:"delta,omitempty,omitzero" cbor:"delta,omitempty"`
 
+	// EdgeHeartbeat corresponds to the JSON schema field "edge-heartbeat".
+	EdgeHeartbeat *EdgeHeartbeat `json:"edge-heartbeat,omitempty,omitzero" cbor:"edge-heartbeat,omitempty"`
+
 	// Outcomes since the last frame.
 	Evidence []Evidence `json:"evidence" cbor:"evidence"`
 
@@ -203,6 +266,21 @@
 	Region string `json:"region" cbor:"region"`
 }
 
+// One key of the platform store as it was written.
+type Item struct {
+	// True when the key was deleted.
+	Deleted bool `json:"deleted" cbor:"deleted"`
+
+	// Key in the store.
+	Key string `json:"key" cbor:"key"`
+
+	// Store revision of the write, or of the deletion.
+	Revision int `json:"revision" cbor:"revision"`
+
+	// Value as stored.
+	Value string `json:"value" cbor:"value"`
+}
+
 // The hash of a caller key that was granted to a team.
 type Key struct {
 	// SHA-256 of the key, in hexadecimal.
@@ -624,6 +702,29 @@
 	AvailabilityZone string `json:"availability-zone" cbor:"availability-zone"`
 }
 
+// Where the move of a service to a backend version stands, as the leading host
+// stored it.
+type Stage struct {
+	// Store revision of the order.
+	Order int `json:"order" cbor:"order"`
+
+	// Why the move ended, empty while it runs.
+	Reason string `json:"reason" cbor:"reason"`
+
+	// Share of the requests that go to the version, from 0 to 1.
+	Share float64 `json:"share" cbor:"share"`
+
+	// Unix time in milliseconds at which the move started, on the clock of the
+	// leading host.
+	StartedMs int `json:"started-ms" cbor:"started-ms"`
+
+	// running, done or reverted.
+	State string `json:"state" cbor:"state"`
+
+	// Backend version that the service moves to.
+	To string `json:"to" cbor:"to"`
+}
+
 // Entries that a caller should use, best first.
 type SteerAnswer struct {
 	// Entries, best first.
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -12,6 +12,7 @@
 
 	"jayshift/core/ident"
 	"jayshift/io/admin"
+	"jayshift/io/serve"
 	"jayshift/io/setup"
 )
 
@@ -60,9 +61,9 @@
 	health.HandleFunc("GET /healthz", h.healthz)
 	h.servers = []*khttp.Server{
 		h.server(listeners["caller"], h.Entry), h.server(listeners["operator"], operator),
-		h.server(listeners["link"], h.linkMux()), server(listeners["admin"], health),
+		h.server(listeners["link"], h.linkMux()), serve.New(listeners["admin"], health),
 	}
-	setFrameworkLog(h.log)
+	serve.SetFrameworkLog(h.log)
 	h.app = kratos.New(
 		kratos.Name("jayshift"),
 		kratos.Server(h.servers[0], h.servers[1], h.servers[2], h.servers[3]),
@@ -80,16 +81,9 @@
 // server wraps a handler in the HTTP transport, with TLS when the settings name its files.
 func (h *Host) server(l net.Listener, handler http.Handler) *khttp.Server {
 	if h.certs == nil {
-		return server(l, handler)
+		return serve.New(l, handler)
 	}
-	return server(l, handler, khttp.TLSConfig(h.certs.Server()))
-}
-
-// server wraps a handler in the HTTP transport. The handler gets paths as they came, not through the router.
-func server(l net.Listener, handler http.Handler, options ...khttp.ServerOption) *khttp.Server {
-	s := khttp.NewServer(append(options, khttp.Listener(l), khttp.Timeout(0))...)
-	s.Handler = handler
-	return s
+	return serve.New(l, handler, khttp.TLSConfig(h.certs.Server()))
 }
 
 // healthz answers 200 when the host may serve limited work, else 503 with the reason.
--- /dev/null
+++ b/io/node/fleet.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jayshift/core/ident"
+	"jayshift/core/poison"
+	"jayshift/core/roster"
+	"jayshift/core/wire"
+	"jayshift/io/peer"
+)
+
+// directoryLife is how long callers may keep an answer of the directory.
+const directoryLife = 2 * time.Second
+
+// ready tells whether the host takes new callers.
+func (n *Node) ready() bool { return n.watch.Loaded() && !n.leaving.Load() }
+
+func (n *Node) heartbeat() wire.EdgeHeartbeat {
+	h := wire.EdgeHeartbeat{
+		Ready: n.ready(), Leaving: n.leaving.Load(), Revision: int(n.watch.Revision()),
+		Demand: wire.EdgeHeartbeatDemand{}, Old: wire.EdgeHeartbeatOld{},
+	}
+	if t := n.watch.Table(); t != nil {
+		h.Version = int(t.Version)
+	}
+	for team, demand := range n.quota.Heartbeat(time.Now()) {
+		h.Demand[string(team)] = demand
+	}
+	for _, order := range n.watch.Orders() {
+		if to, moving := n.rolls.Moving(order.Service); moving {
+			h.Old[string(order.Service)] = n.edge.Running(order.Service, to)
+		}
+	}
+	return h
+}
+
+func (n *Node) heard(host ident.Host, h wire.EdgeHeartbeat) {
+	demand := make(map[ident.Team]float64, len(h.Demand))
+	for team, d := range h.Demand {
+		demand[ident.Team(team)] = d
+	}
+	n.quota.Heard(time.Now(), host, demand)
+}
+
+// handle takes in a frame from a peer.
+func (n *Node) handle(_ context.Context, from wire.Hello, f wire.Frame) *wire.Frame {
+	now := time.Now()
+	if f.EdgeHeartbeat != nil {
+		n.peers.Take(now, from, *f.EdgeHeartbeat)
+	}
+	if len(f.Evidence) > 0 {
+		n.evidence.Merge(now, f.Evidence)
+	}
+	if f.Trip != nil {
+		n.rolls.Trip(*f.Trip)
+	}
+	if f.Strike != nil {
+		n.poison.Strike(now, poison.Print(f.Strike.Fingerprint), ident.BackendServer(f.Strike.BackendServer))
+	}
+	return nil
+}
+
+func (n *Node) strike(p poison.Print, server ident.BackendServer) {
+	n.mesh.Broadcast(wire.Frame{Strike: &wire.Strike{Fingerprint: string(p), BackendServer: string(server)}})
+}
+
+func (n *Node) judge(s roster.Server, route ident.Route, failed bool, ratio float64) {
+	n.rolls.Judge(time.Now(), s, route, failed, ratio)
+}
+
+// hosts returns how many hosts share what is counted across the fleet.
+func (n *Node) hosts() int { return 1 + len(n.peers.List()) }
+
+// warms tells whether this host is the one that sends requests to a cold backend server: the first of the hosts in the
+// server's region, or of all when none is there.
+func (n *Node) warms(server ident.BackendServer) bool {
+	alive := n.peers.Alive(time.Now())
+	var near []peer.Peer
+	for _, p := range alive {
+		if string(p.Region) == n.settings.Region {
+			near = append(near, p)
+		}
+	}
+	return n.first(string(server), near)
+}
+
+// leads tells whether this host states the steps of a service's move.
+func (n *Node) leads(service ident.Service) bool {
+	return !n.leaving.Load() && n.first(string(service), n.peers.Alive(time.Now()))
+}
+
+// first tells whether this host comes before the peers for a subject, by rendezvous hashing.
+func (n *Node) first(subject string, peers []peer.Peer) bool {
+	own := xxhash.Sum64String(subject + "\x00" + n.settings.Name)
+	for _, p := range peers {
+		if xxhash.Sum64String(subject+"\x00"+string(p.Host)) > own {
+			return false
+		}
+	}
+	return true
+}
+
+// settled tells whether all hosts know the store up to the revision, and run nothing on other versions of the service.
+func (n *Node) settled(service ident.Service, to ident.Version, revision ident.Revision) bool {
+	if n.edge.Running(service, to) > 0 {
+		return false
+	}
+	for _, p := range n.peers.Alive(time.Now()) {
+		if ident.Revision(p.State.Revision) < revision || p.State.Old[string(service)] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// directory returns the hosts that callers of a zone should use: those of the zone, else of the region, else all.
+func (n *Node) directory(zone ident.AvailabilityZone, region ident.Region) ([]string, time.Duration) {
+	now := time.Now()
+	var all, inRegion, inZone []string
+	add := func(z ident.AvailabilityZone, r ident.Region, address string) {
+		all = append(all, address)
+		if r == region {
+			inRegion = append(inRegion, address)
+		}
+		if z == zone {
+			inZone = append(inZone, address)
+		}
+	}
+	if n.ready() {
+		add(ident.AvailabilityZone(n.settings.Zone), ident.Region(n.settings.Region), n.settings.Caller)
+	}
+	for _, p := range n.peers.Alive(now) {
+		if p.State.Ready {
+			add(p.Zone, p.Region, p.Caller)
+		}
+	}
+	life := min(directoryLife, n.platform.AnswerLife)
+	switch {
+	case len(inZone) > 0:
+		return inZone, life
+	case len(inRegion) > 0:
+		return inRegion, life
+	}
+	return all[:min(len(all), mostAddresses)], life
+}
+
+// mostAddresses is how many addresses an answer of the directory may hold.
+const mostAddresses = 64
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,188 @@
+// Package node puts the parts of one edge host's process together.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"jayshift/core/ident"
+	"jayshift/core/place"
+	"jayshift/core/poison"
+	"jayshift/core/quota"
+	"jayshift/core/trial"
+	"jayshift/core/wire"
+	"jayshift/io/conns"
+	"jayshift/io/edge"
+	"jayshift/io/link"
+	"jayshift/io/peer"
+	"jayshift/io/roll"
+	"jayshift/io/setup"
+	"jayshift/io/store"
+	"jayshift/io/watch"
+)
+
+const (
+	quotaIsolation = 1500 * time.Millisecond
+	quotaTakeover  = 3 * time.Second
+	poisonStrikes  = 3 // backend servers lost to a request; a lost answer looks the same as a lost server
+	sweepPause     = 1 * time.Second
+)
+
+// Platform is what translates between the platform and jayshift.
+type Platform struct {
+	Store   *store.Store
+	Dialect edge.Dialect
+	Decode  func(watch.Item) (watch.Change, error)
+	Encode  func(watch.Verdict) (key string, value []byte, err error)
+	// Directory serves callers that ask where to connect, Ready the platform's question whether the host takes callers.
+	Directory func(func(ident.AvailabilityZone, ident.Region) ([]string, time.Duration)) http.Handler
+	Ready     func(func() bool) http.Handler
+
+	RetryShare float64
+	RetrySlack float64
+	Grace      time.Duration
+	AnswerLife time.Duration
+}
+
+// Node is one edge host's process.
+type Node struct {
+	settings *setup.Edge
+	platform Platform
+	log      *slog.Logger
+	app      *kratos.App
+	servers  []*khttp.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
+	leaving  atomic.Bool
+	start    time.Time
+
+	watch    *watch.Watch
+	peers    *peer.Peers
+	mesh     *link.Mesh
+	board    *place.Board
+	quota    *quota.Book
+	poison   *poison.List
+	evidence *trial.Evidence
+	gate     *trial.Gate
+	rolls    *roll.Rolls
+	pool     *conns.Pool
+	edge     *edge.Edge
+}
+
+// New builds a node from its settings; nothing runs yet, but the listen addresses are taken.
+func New(s *setup.Edge, p Platform, log *slog.Logger) (*Node, error) {
+	n := &Node{settings: s, platform: p, log: log, start: time.Now()}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	listeners, err := n.listen()
+	if err != nil {
+		return nil, err
+	}
+	n.build()
+	n.serve(listeners)
+	return n, nil
+}
+
+// build constructs the parts; each knows the others only through its seams.
+func (n *Node) build() {
+	s := n.settings
+	self := ident.Host(s.Name)
+	n.quota = quota.New(quotaIsolation, quotaTakeover)
+	n.poison = poison.New()
+	n.poison.Strikes = poisonStrikes
+	n.evidence = trial.NewEvidence()
+	n.gate = trial.NewGate()
+	n.pool = conns.New(n.platform.Dialect.RequestID)
+	n.watch = watch.New(watch.Seams{
+		Store: n.platform.Store, Decode: n.platform.Decode, Regions: s.Regions, Log: n.log, Now: time.Now, Changed: n.changed,
+	})
+	n.mesh = link.New(link.Seams{
+		Hello: n.hello, Handle: n.handle, Scheme: "ws", Client: func() *http.Client { return http.DefaultClient },
+	})
+	n.peers = peer.New(peer.Seams{
+		Host: self, Self: n.self(), Store: n.platform.Store, Mesh: n.mesh, Watch: n.watch, Log: n.log, Seeds: s.Seeds,
+		Heartbeat: n.heartbeat, Evidence: n.evidence.Drain,
+		Named: func(hosts []ident.Host) { n.quota.SetPeers(time.Now(), hosts) },
+		Heard: n.heard,
+		Left:  func(host ident.Host) { n.quota.Left(time.Now(), host) },
+	})
+	n.rolls = roll.New(roll.Seams{
+		Store: n.platform.Store, Watch: n.watch, Log: n.log, Gate: n.gate, Evidence: n.evidence, Encode: n.platform.Encode,
+		Leads: n.leads, Settled: n.settled, Broadcast: n.mesh.Broadcast,
+	})
+	n.board = place.New(place.Settings{
+		Place:   place.Place{Zone: ident.AvailabilityZone(s.Zone), Region: ident.Region(s.Region)},
+		Weights: place.DefaultWeights(), Warms: n.warms,
+	})
+	n.edge = n.newEdge()
+}
+
+func (n *Node) newEdge() *edge.Edge {
+	return edge.New(edge.Seams{
+		Dialect: n.platform.Dialect, Log: n.log, Table: n.watch.Table, Board: n.board, Pool: n.pool, Quota: n.quota,
+		Poison: n.poison, BudgetShare: n.platform.RetryShare, BudgetSlack: n.platform.RetrySlack, Hosts: n.hosts,
+		Version: n.rolls.Version, Judge: n.judge, Strike: n.strike, Gone: n.watch.Gone, Leaving: n.leaving.Load,
+		Count: func(edge.Sample) {},
+	})
+}
+
+// changed takes in what the store says now.
+func (n *Node) changed() {
+	now := time.Now()
+	t := n.watch.Table()
+	if t == nil {
+		return
+	}
+	rates := map[ident.Team]quota.Rate{}
+	for _, team := range t.Teams {
+		rates[team.Name] = quota.Rate{PerSecond: team.Rate, Burst: team.Burst}
+	}
+	n.quota.SetRates(now, rates)
+	servers := n.watch.Servers()
+	n.rolls.SetServers(servers)
+	n.board.Update(servers, func(service ident.Service) float64 {
+		if s, ok := t.Service(service); ok {
+			return s.ColdRate
+		}
+		return 0
+	})
+}
+
+// sweep closes idle connections that are not wanted any more.
+func (n *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		wanted := map[string]bool{}
+		for _, s := range n.watch.Servers() {
+			wanted[s.Address] = true
+		}
+		n.pool.Sweep(time.Now(), func(address string) bool { return wanted[address] })
+	}
+}
+
+func (n *Node) self() wire.Edge {
+	s := n.settings
+	return wire.Edge{
+		AvailabilityZone: s.Zone, Region: s.Region, Incarnation: int(n.start.UnixMilli()),
+		LinkAddress: s.Link, CallerAddress: s.Caller,
+	}
+}
+
+func (n *Node) hello() wire.Hello {
+	s := n.settings
+	return wire.Hello{
+		Host: s.Name, AvailabilityZone: s.Zone, Region: s.Region, Incarnation: int(n.start.UnixMilli()),
+		LinkAddress: s.Link, CallerAddress: s.Caller,
+	}
+}
--- /dev/null
+++ b/io/roll/roll.go
@@ -0,0 +1,328 @@
+// Package roll moves services to new backend versions as operators order it in the platform's store. Every host follows
+// the stated share and judges the version; the host that comes first for a service states the next step. Steps are
+// written under the condition that nobody stated another one, so two hosts that both lead do no harm.
+package roll
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"jayshift/core/ident"
+	"jayshift/core/roster"
+	"jayshift/core/trial"
+	"jayshift/core/wire"
+	"jayshift/io/store"
+	"jayshift/io/watch"
+)
+
+const (
+	tickPause = 250 * time.Millisecond
+	// timeMargin is kept before the time limit of an order, for the steps that end a move.
+	timeMargin = 1500 * time.Millisecond
+	ratioScale = 100.0 // milliseconds that evidence states for an answer that took as long as expected
+)
+
+// Seams are what moves need from the rest of the process.
+type Seams struct {
+	Store    *store.Store
+	Watch    *watch.Watch
+	Log      *slog.Logger
+	Gate     *trial.Gate
+	Evidence *trial.Evidence
+	// Encode returns the key and value under which operators read how a move stands.
+	Encode func(watch.Verdict) (key string, value []byte, err error)
+	// Leads tells whether this host is the one that states the steps of the service.
+	Leads func(ident.Service) bool
+	// Settled tells whether all hosts know the store up to the revision and run nothing on other versions.
+	Settled   func(service ident.Service, to ident.Version, revision ident.Revision) bool
+	Broadcast func(f wire.Frame) int
+}
+
+// Rolls follows the moves of all services.
+type Rolls struct {
+	seams Seams
+
+	mu    sync.Mutex
+	bases map[ident.Service]ident.Version // version that a service is on
+	moves map[ident.Service]*move
+}
+
+// move is what this host knows of the move of one service.
+type move struct {
+	order   watch.Order
+	seen    time.Time  // when the order was first seen
+	step    trial.Step // share in force and since when
+	tripped string     // why the version is bad
+	ended   bool
+}
+
+// New returns rolls without moves.
+func New(seams Seams) *Rolls {
+	return &Rolls{seams: seams, bases: map[ident.Service]ident.Version{}, moves: map[ident.Service]*move{}}
+}
+
+// Run follows the moves until the context ends.
+func (r *Rolls) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.Tick(ctx, time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Version returns the version that the next request of the service goes to, empty while none is known.
+func (r *Rolls) Version(service ident.Service) ident.Version {
+	if version, ok := r.seams.Gate.Pass(service); ok {
+		return version
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bases[service]
+}
+
+// Moving returns the version that the service moves to, while it moves.
+func (r *Rolls) Moving(service ident.Service) (ident.Version, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.moves[service]
+	if m == nil || m.ended {
+		return "", false
+	}
+	return m.order.To, true
+}
+
+// Judge counts how an attempt ended while its service moves.
+func (r *Rolls) Judge(now time.Time, s roster.Server, route ident.Route, failed bool, ratio float64) {
+	if _, moving := r.Moving(s.Service); !moving {
+		return
+	}
+	subject := trial.Subject{Service: s.Service, Version: s.Version, Route: string(route)}
+	if !failed && ratio == 0 {
+		ratio = 1
+	}
+	r.seams.Evidence.Add(now, subject, failed, time.Duration(ratio*ratioScale*float64(time.Millisecond)))
+}
+
+// SetServers works out which version each service is on, from the servers that are there. A service stays on its
+// version until a move away from it is done, or no server of that version is left.
+func (r *Rolls) SetServers(list []roster.Entry) {
+	counts := map[ident.Service]map[ident.Version]int{}
+	for _, e := range list {
+		if e.Draining {
+			continue
+		}
+		if counts[e.Service] == nil {
+			counts[e.Service] = map[ident.Version]int{}
+		}
+		counts[e.Service][e.Version]++
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, versions := range counts {
+		if r.done(service) || versions[r.bases[service]] > 0 {
+			continue
+		}
+		r.bases[service] = r.mostCommon(service, versions)
+	}
+}
+
+// done tells whether a move has ended well, and sets the service's version. The lock is held.
+func (r *Rolls) done(service ident.Service) bool {
+	v, ok := r.seams.Watch.Verdict(service)
+	if !ok || v.State != watch.Done {
+		return false
+	}
+	if order, ok := r.order(service); ok && order.Revision > v.Revision {
+		return false
+	}
+	r.bases[service] = v.To
+	return true
+}
+
+func (r *Rolls) order(service ident.Service) (watch.Order, bool) {
+	for _, o := range r.seams.Watch.Orders() {
+		if o.Service == service {
+			return o, true
+		}
+	}
+	return watch.Order{}, false
+}
+
+// mostCommon returns the version that most servers run, besides one that a move leads to or that was taken back.
+func (r *Rolls) mostCommon(service ident.Service, versions map[ident.Version]int) ident.Version {
+	avoid := ident.Version("")
+	if order, ok := r.order(service); ok {
+		avoid = order.To
+	}
+	var best ident.Version
+	for version, n := range versions {
+		if version == avoid && len(versions) > 1 {
+			continue
+		}
+		if best == "" || n > versions[best] || n == versions[best] && version < best {
+			best = version
+		}
+	}
+	return best
+}
+
+// Tick does one round at this host.
+func (r *Rolls) Tick(ctx context.Context, now time.Time) {
+	for _, order := range r.seams.Watch.Orders() {
+		m := r.follow(now, order)
+		if m.ended {
+			continue
+		}
+		r.judge(now, m)
+		r.setGate(now, m)
+		if r.seams.Leads(order.Service) {
+			if err := r.lead(ctx, now, m); err != nil && !errors.Is(err, store.ErrConflict) {
+				r.seams.Log.Warn("move not advanced", "service", string(order.Service), "error", err.Error())
+			}
+		}
+	}
+}
+
+// follow returns what is known of the move that an order asks for.
+func (r *Rolls) follow(now time.Time, order watch.Order) *move {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.moves[order.Service]
+	if m == nil || m.order.Revision != order.Revision {
+		m = &move{order: order, seen: now}
+		r.moves[order.Service] = m
+		r.seams.Evidence.Forget(order.Service, order.To)
+	}
+	v, ok := r.seams.Watch.Verdict(order.Service)
+	if ok && v.Revision > order.Revision && v.To == order.To && v.State != watch.Running && !m.ended {
+		m.ended = true
+		r.seams.Gate.Close(order.Service)
+		if v.State == watch.Done {
+			r.bases[order.Service] = order.To
+		}
+		r.seams.Log.Info("move ended", "service", string(order.Service), "to", string(order.To), "state", string(v.State))
+	}
+	return m
+}
+
+// stage returns the step that was stated for the move's order.
+func (r *Rolls) stage(m *move) (watch.Stage, bool) {
+	s, ok := r.seams.Watch.Stage(m.order.Service)
+	return s, ok && ident.Revision(s.Order) == m.order.Revision
+}
+
+// setGate lets the stated share through, and nothing once the version has proved bad.
+func (r *Rolls) setGate(now time.Time, m *move) {
+	s, ok := r.stage(m)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !ok || m.tripped != "" || s.State == string(watch.Reverted) {
+		r.seams.Gate.Close(m.order.Service)
+		return
+	}
+	if s.Share != m.step.Share || m.step.Since.IsZero() {
+		m.step = trial.Step{Share: s.Share, Since: now}
+	}
+	r.seams.Gate.Set(m.order.Service, m.order.To, s.Share)
+}
+
+// judge trips the move when the evidence is against the version, and tells the peers.
+func (r *Rolls) judge(now time.Time, m *move) {
+	r.mu.Lock()
+	reason, base := m.tripped, r.bases[m.order.Service]
+	r.mu.Unlock()
+	if reason == "" {
+		before := r.seams.Evidence.Routes(now, m.order.Service, base)
+		after := r.seams.Evidence.Routes(now, m.order.Service, m.order.To)
+		if reason = trial.Judge(before, after); reason == "" {
+			return
+		}
+	}
+	t := wire.Trip{Service: string(m.order.Service), Version: string(m.order.To), Reason: reason, Attempt: attempt(m.order)}
+	r.Trip(t)
+	r.seams.Broadcast(wire.Frame{Trip: &t})
+}
+
+func attempt(o watch.Order) string { return string(o.To) + " " + time.Duration(o.Revision).String() }
+
+// Trip takes in a verdict against a version, from here or from a peer. It holds from the next request on.
+func (r *Rolls) Trip(t wire.Trip) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.moves[ident.Service(t.Service)]
+	if m == nil || attempt(m.order) != t.Attempt || m.tripped != "" {
+		return
+	}
+	m.tripped = t.Reason
+	r.seams.Gate.Close(m.order.Service)
+	r.seams.Log.Warn("backend version tripped", "service", t.Service, "version", t.Version, "reason", t.Reason)
+}
+
+// lead states the next step of a move.
+func (r *Rolls) lead(ctx context.Context, now time.Time, m *move) error {
+	s, ok := r.stage(m)
+	r.mu.Lock()
+	tripped, step := m.tripped, m.step
+	r.mu.Unlock()
+	switch {
+	case tripped != "":
+		return r.state(ctx, m, s, 0, watch.Reverted, tripped, now)
+	case !ok:
+		return r.state(ctx, m, s, trial.DefaultShare, watch.Running, "", now)
+	case step.Since.IsZero():
+		return nil
+	}
+	by := time.UnixMilli(int64(s.StartedMs)).Add(m.order.Within - timeMargin)
+	judged := trial.Judged(r.seams.Evidence.Routes(now, m.order.Service, m.order.To))
+	share, done := trial.Next(now, step, by, judged)
+	switch {
+	case done && r.seams.Settled(m.order.Service, m.order.To, s.Revision):
+		return r.state(ctx, m, s, 1, watch.Done, "all requests are on the version", now)
+	case share != s.Share:
+		return r.state(ctx, m, s, share, watch.Running, "", now)
+	}
+	return nil
+}
+
+// state writes a step, and the verdict that operators read when it changes, unless another host stated something since.
+func (r *Rolls) state(ctx context.Context, m *move, old watch.Stage, share float64, state watch.State, reason string, now time.Time) error {
+	service := m.order.Service
+	next := wire.Stage{
+		To: string(m.order.To), Order: int(m.order.Revision), Share: share, State: string(state), Reason: reason,
+		StartedMs: int(now.UnixMilli()),
+	}
+	if ident.Revision(old.Order) == m.order.Revision {
+		next.StartedMs = old.StartedMs
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	verdict, _ := r.seams.Watch.Verdict(service)
+	key, text, err := r.seams.Encode(watch.Verdict{Service: service, To: m.order.To, State: state})
+	if err != nil {
+		return err
+	}
+	stageKey := watch.StageKey(service)
+	compares := []store.Compare{{Key: stageKey, Revision: int64(old.Revision)}, {Key: key, Revision: int64(verdict.Revision)}}
+	writes := []store.Write{{Key: stageKey, Value: value}}
+	if verdict.To != m.order.To || verdict.State != state || verdict.Revision < m.order.Revision {
+		writes = append(writes, store.Write{Key: key, Value: text})
+	}
+	_, _, err = r.seams.Store.Txn(ctx, compares, writes, nil)
+	if err == nil {
+		r.seams.Log.Info("move stated", "service", string(service), "to", string(m.order.To), "share", share, "state", string(state), "reason", reason)
+	}
+	return err
+}
--- a/io/setup/setting.go
+++ b/io/setup/setting.go
@@ -12,13 +12,13 @@
 )
 
 // setting is one row of the settings table.
-type setting struct {
+type setting[T any] struct {
 	section  string
 	key      string
 	fallback string // default; "required" when the operator must set it
 	unit     string
 	help     string
-	set      func(s *Settings, value string) error
+	set      func(s *T, value string) error
 }
 
 const required = "required"
@@ -36,7 +36,7 @@
 )
 
 // table lists every setting.
-var table = []setting{
+var table = []setting[Settings]{
 	{"host", "name", required, "", "Name of this host, unique in the fleet.", name(func(s *Settings) *string { return &s.Name })},
 	{"host", "availability-zone", required, "", "Availability zone that the host stands in.", name(func(s *Settings) *string { return &s.Zone })},
 	{"host", "region", required, "", "Region of the availability zone.", name(func(s *Settings) *string { return &s.Region })},
@@ -61,8 +61,8 @@
 	{"log", "level", "info", "level", "Lowest level that is logged.", level},
 }
 
-func name(field func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
+func name[T any](field func(*T) *string) func(*T, string) error {
+	return func(s *T, value string) error {
 		if !namePattern.MatchString(value) {
 			return errName
 		}
@@ -71,8 +71,8 @@
 	}
 }
 
-func address(field func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
+func address[T any](field func(*T) *string) func(*T, string) error {
+	return func(s *T, value string) error {
 		if _, err := netip.ParseAddrPort(value); err != nil {
 			return errAddress
 		}
@@ -81,8 +81,8 @@
 	}
 }
 
-func duration(field func(*Settings) *time.Duration) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
+func duration[T any](field func(*T) *time.Duration) func(*T, string) error {
+	return func(s *T, value string) error {
 		d, err := time.ParseDuration(value)
 		if err != nil || d <= 0 {
 			return errDuration
@@ -92,8 +92,8 @@
 	}
 }
 
-func count(field func(*Settings) *int) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
+func count[T any](field func(*T) *int) func(*T, string) error {
+	return func(s *T, value string) error {
 		n, err := strconv.Atoi(value)
 		if err != nil || n <= 0 {
 			return errCount
@@ -104,8 +104,8 @@
 }
 
 // file reads the content of the named file into the field.
-func file(field func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
+func file[T any](field func(*T) *string) func(*T, string) error {
+	return func(s *T, value string) error {
 		if value == "" {
 			return nil
 		}
@@ -118,8 +118,8 @@
 	}
 }
 
-func path(field func(*Settings) *string) func(*Settings, string) error {
-	return func(s *Settings, value string) error {
+func path[T any](field func(*T) *string) func(*T, string) error {
+	return func(s *T, value string) error {
 		if value == "" {
 			return nil
 		}
--- a/io/setup/settings.go
+++ b/io/setup/settings.go
@@ -54,36 +54,41 @@
 }
 
 // Read reads and checks the settings file. The error wraps ErrInvalid and lists every fault.
-func Read(path string) (*Settings, error) {
+func Read(path string) (*Settings, error) { return read(path, Parse) }
+
+func read[T any](path string, parse func([]byte) (*T, error)) (*T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, merry.Prepend(ErrInvalid, err.Error())
 	}
-	return Parse(data)
+	return parse(data)
 }
 
 // Parse checks settings in INI form.
-func Parse(data []byte) (*Settings, error) {
+func Parse(data []byte) (*Settings, error) { return parse(data, table, (*Settings).check) }
+
+// parse reads the settings of a table, and lets check find faults between them.
+func parse[T any](data []byte, rows []setting[T], check func(*T, map[string]int) []fault) (*T, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false}, data)
 	if err != nil {
 		return nil, merry.Prepend(ErrInvalid, err.Error())
 	}
 	lines := lineNumbers(data)
-	s := &Settings{}
-	faults := unknownKeys(file, lines)
-	for _, row := range table {
+	s := new(T)
+	faults := unknownKeys(file, rows, lines)
+	for _, row := range rows {
 		faults = append(faults, row.read(s, file, lines)...)
 	}
-	faults = append(faults, s.check(lines)...)
+	faults = append(faults, check(s, lines)...)
 	if len(faults) > 0 {
 		return nil, merry.Prepend(ErrInvalid, describe(faults))
 	}
 	return s, nil
 }
 
-func (row setting) name() string { return row.section + "." + row.key }
+func (row setting[T]) name() string { return row.section + "." + row.key }
 
-func (row setting) read(s *Settings, file *ini.File, lines map[string]int) []fault {
+func (row setting[T]) read(s *T, file *ini.File, lines map[string]int) []fault {
 	value := row.fallback
 	section, err := file.GetSection(row.section)
 	if err == nil && section.HasKey(row.key) {
@@ -98,9 +103,9 @@
 	return nil
 }
 
-func unknownKeys(file *ini.File, lines map[string]int) []fault {
+func unknownKeys[T any](file *ini.File, rows []setting[T], lines map[string]int) []fault {
 	known := map[string]bool{}
-	for _, row := range table {
+	for _, row := range rows {
 		known[row.name()] = true
 	}
 	var faults []fault
@@ -176,28 +181,45 @@
 	return lines
 }
 
-// Table prints the settings table in Markdown.
-func Table() string {
+// Table prints the settings table of an entry host in Markdown.
+func Table() string { return printTable(table) }
+
+// EdgeTable prints the settings table of an edge host in Markdown.
+func EdgeTable() string { return printTable(edgeTable) }
+
+func printTable[T any](rows []setting[T]) string {
 	var b strings.Builder
 	b.WriteString("| section | key | default | unit | meaning |\n|---|---|---|---|---|\n")
-	for _, row := range table {
+	for _, row := range rows {
 		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s |\n", row.section, row.key, row.fallback, row.unit, row.help)
 	}
 	return b.String()
 }
 
-// Print returns every setting of a checked file with its value, in INI form.
+// Print returns every setting of a checked file of an entry host with its value, in INI form.
 func Print(path string) (string, error) {
 	if _, err := Read(path); err != nil {
 		return "", err
 	}
+	return printFile(path, table)
+}
+
+// PrintEdge returns every setting of a checked file of an edge host with its value, in INI form.
+func PrintEdge(path string) (string, error) {
+	if _, err := ReadEdge(path); err != nil {
+		return "", err
+	}
+	return printFile(path, edgeTable)
+}
+
+func printFile[T any](path string, rows []setting[T]) (string, error) {
 	file, err := ini.Load(path)
 	if err != nil {
 		return "", merry.Wrap(err)
 	}
 	var b strings.Builder
 	section := ""
-	for _, row := range table {
+	for _, row := range rows {
 		if row.section != section {
 			section = row.section
 			fmt.Fprintf(&b, "[%s]\n", section)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -28,6 +28,8 @@
 	ErrConflict = merry.Sentinel("store: compare failed")
 	// ErrCompacted means that a watch must start again from a full read.
 	ErrCompacted = merry.Sentinel("store: revision compacted")
+	// ErrNoLease means that a write named a lease that has ended; nothing was written.
+	ErrNoLease = merry.Sentinel("store: no such lease")
 	// ErrTooLarge means that a transaction has too many operations.
 	ErrTooLarge = merry.Sentinel("store: too many operations")
 )
@@ -68,6 +70,8 @@
 	Grant func(ctx context.Context, seconds int64) (int64, error)
 	// KeepAlive extends a lease; ErrConflict means that it has lapsed.
 	KeepAlive func(ctx context.Context, lease int64) error
+	// Revoke ends a lease and removes its keys.
+	Revoke func(ctx context.Context, lease int64) error
 
 	calls atomic.Int64
 }
@@ -86,6 +90,7 @@
 	s.Watch = g.watch
 	s.Grant = g.grant
 	s.KeepAlive = g.keepAlive
+	s.Revoke = g.revoke
 	return s, nil
 }
 
@@ -178,6 +183,10 @@
 	return nil
 }
 
+func (g *gateway) revoke(ctx context.Context, lease int64) error {
+	return g.invoke(ctx, "/v3/lease/revoke", &leaseRequest{ID: lease}, &struct{}{})
+}
+
 func (g *gateway) watch(ctx context.Context, prefix string, from int64, handle func([]Event, int64)) error {
 	g.calls.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
