Let objects live in a region, and late work yield to work in time

Cause: at styria one server a zone was home of all 93 objects of its callers and remembers about 65, so runs were cold (360 ms for 108); the cap on a server's queue sent requests to servers that did not know the object; and queues filled with requests that were late by themselves (p50 840 ms at an aim of 400). Ruled out by a trial that printed each run: warm runs do take 0.3 of cold ones (p50 108 of 360 ms), and are remembered for over 10 s.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -2,8 +2,12 @@
 // nearly full all day, run an object they know several times faster, and are used by hosts that do not talk about it.
 //
 // Each choice is given a cost in time: the wait for a slot, the run, the way there, and what the weights add. Hosts
-// agree on where an object lives by rendezvous hashing over the servers of a group: the own zone, the rest of the own
-// region, and each other region. A longer queue there outweighs the faster run.
+// agree on where an object lives by rendezvous hashing over the servers of a group: the own region, or its zones if
+// their servers can remember all objects, and each other region. A longer queue there outweighs the faster run, but a
+// run elsewhere keeps a slot from others for longer and makes them wait.
+//
+// A request that would be late is taken only where a slot is free, since it would make others late that still can be in
+// time; otherwise it is refused at once.
 package place
 
 import (
@@ -55,11 +59,12 @@
 	Service  ident.Service
 	Version  ident.Version // the only one allowed, empty for any
 	Route    ident.Route
-	Object   ident.Object // empty when it does not matter where the request runs
-	Aim      time.Duration
-	Rank     int // 0 for the most urgent among those that share the servers
-	Bytes    float64
-	Deadline time.Time
+	Object   ident.Object   // empty when it does not matter where the request runs
+	Aim      time.Duration  // latency target
+	Started  time.Time      // the target counts from it
+	Rank     int            // 0 for the most urgent
+	Bytes    float64        // of the body and of the answer
+	Deadline time.Time      // no answer is of use after it
 	Homes    []ident.Region // regions where the request may run, when Limited
 	Limited  bool
 	Tried    []ident.BackendServer
@@ -87,6 +92,7 @@
 	servers []*server
 	works   map[ident.Route]*work
 	mean    time.Duration // of all runs
+	objects objects
 }
 
 // New returns a board without servers.
@@ -105,7 +111,7 @@
 	defer b.mu.Unlock()
 	for service := range byService {
 		if b.shards[service] == nil {
-			b.shards[service] = &shard{works: map[ident.Route]*work{}}
+			b.shards[service] = &shard{works: map[ident.Route]*work{}, objects: newObjects()}
 		}
 	}
 	for service, s := range b.shards {
@@ -161,8 +167,9 @@
 type candidate struct {
 	server *server
 	cost   time.Duration
-	run    time.Duration // of it, without the wait and the way
-	wait   time.Duration
+	answer time.Duration // until the answer is back
+	wait   time.Duration // until the run
+	run    time.Duration
 	warm   bool // by what this host ran there, or since the object lives there
 	known  bool // by what this host ran there
 }
@@ -215,14 +222,20 @@
 	c := candidate{server: v}
 	c.known = q.Object == "" || v.knows(now, q.Object)
 	c.warm = c.known || slices.Contains(lives, v)
-	c.run = time.Duration(v.slow * float64(w.expected(c.warm, q.Aim)))
+	run := w.expected(c.warm, q.Aim)
+	c.run = time.Duration(v.slow * float64(run))
 	if v.isCold(now) {
 		c.run *= 2
 	}
 	c.wait = v.wait(s.meanWork(c.run))
+	c.answer = c.wait + c.run
+	if v.Region != settings.Place.Region {
+		c.answer += v.roundTrip()
+	}
 	c.cost = c.wait + c.run + settings.Weights.way(settings.Place, v, q.Bytes)
 	c.cost += time.Duration(v.failing * float64(settings.Weights.Failure))
-	c.cost += time.Duration(rand.Int64N(int64(time.Millisecond))) // spreads equal choices
+	c.cost += time.Duration(v.busy() * float64(run-w.expected(true, q.Aim))) // what others wait longer
+	c.cost += time.Duration(rand.Int64N(int64(time.Millisecond)))            // spreads equal choices
 	return c
 }
 
@@ -236,21 +249,27 @@
 // excludes returns why the server cannot take the request now, and when it may.
 func (s *shard) excludes(now time.Time, q Query, settings *Settings, c candidate) (Reason, time.Duration) {
 	v := c.server
-	room := float64(v.Slots) * (1 + settings.Weights.Queue/float64(1+q.Rank))
-	if over := v.load() + 1 - room; over > 0 {
-		return Full, time.Duration(over * float64(s.meanWork(c.run)) / float64(v.Slots))
+	if over := v.load() + 1 - settings.Weights.room(v.Slots, q.Rank); over > 0 {
+		return Full, s.drain(v, over, c.run)
 	}
-	if over := now.Add(c.wait + c.run).Sub(q.Deadline); over > 0 {
+	if over := now.Add(c.answer).Sub(q.Deadline); over > 0 {
 		return Late, over
 	}
+	if over := v.load() + 1 - float64(v.Slots); over > 0 && now.Add(c.answer).After(q.Started.Add(q.Aim)) {
+		return Full, s.drain(v, over, c.run)
+	}
 	if v.isCold(now) && (!settings.Warms(v.ID) || !v.coldRoom(now)) {
 		return Cold, v.ColdUntil.Sub(now)
 	}
 	return "", 0
 }
 
-// homes returns the servers where the object lives, one for each group: the own zone, the rest of the own region, and
-// each other region.
+// drain estimates how long the server takes to end so many requests.
+func (s *shard) drain(v *server, requests float64, run time.Duration) time.Duration {
+	return time.Duration(requests * float64(s.meanWork(run)) / float64(v.Slots))
+}
+
+// homes returns the servers where the object lives, one for each group.
 func (s *shard) homes(now time.Time, q Query, from Place) []*server {
 	if q.Object == "" {
 		return nil
@@ -259,16 +278,21 @@
 		server *server
 		score  uint64
 	}
+	s.objects.see(now, q.Object)
+	byZone := s.livesInZone(now, q, from)
 	object := xxhash.Sum64String(string(q.Object))
-	groups := map[string]best{}
+	groups := map[group]best{}
 	for _, v := range s.servers {
 		if !v.suits(Query{Version: q.Version, Homes: q.Homes, Limited: q.Limited}) || v.isCold(now) {
 			continue
 		}
-		group := groupOf(v, from)
+		g := group{region: v.Region}
+		if byZone && v.Region == from.Region {
+			g.zone = v.Zone
+		}
 		score := mix(object ^ v.hash)
-		if g, ok := groups[group]; !ok || score > g.score {
-			groups[group] = best{v, score}
+		if b, ok := groups[g]; !ok || score > b.score {
+			groups[g] = best{v, score}
 		}
 	}
 	list := make([]*server, 0, len(groups))
@@ -278,11 +302,22 @@
 	return list
 }
 
-func groupOf(s *server, from Place) string {
-	if s.Region == from.Region {
-		return string(s.Zone)
+// group is a set of servers among which an object lives at one.
+type group struct {
+	region ident.Region
+	zone   ident.AvailabilityZone // empty for all of the region
+}
+
+// livesInZone tells whether the servers of the own zone can remember all objects, so that none needs to live in
+// another zone.
+func (s *shard) livesInZone(now time.Time, q Query, from Place) bool {
+	servers := 0
+	for _, v := range s.servers {
+		if v.Zone == from.Zone && !v.Draining && !v.isCold(now) && (q.Version == "" || v.Version == q.Version) {
+			servers++
+		}
 	}
-	return "region " + string(s.Region)
+	return servers > 0 && s.objects.fit(servers)
 }
 
 // mix spreads the bits of a hash, so that scores of one object at several servers are independent.
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -33,9 +33,10 @@
 	inFlight int
 	others   float64 // requests of other hosts that it was seen to have
 	reported time.Time
-	slow     float64 // its answers' times against those of its service
-	failing  float64 // share of the requests that failed lately
-	faults   int     // in a row
+	heard    time.Time // last answer
+	slow     float64   // its answers' times against those of its service
+	failing  float64   // share of the requests that failed lately
+	faults   int       // in a row
 	paused   time.Time
 	pause    time.Duration
 	probing  bool // one request is out to see whether it works again
@@ -63,6 +64,9 @@
 // load estimates how many requests run or wait at the server.
 func (s *server) load() float64 { return float64(s.inFlight) + s.others }
 
+// busy tells how much of the server would be in use with one more request, from 0 to 1.
+func (s *server) busy() float64 { return min(1, (s.load()+1)/float64(s.Slots)) }
+
 // wait estimates how long a request waits there, given the time that one takes.
 func (s *server) wait(work time.Duration) time.Duration {
 	ahead := s.load() - float64(s.Slots) + 1
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -30,7 +30,7 @@
 	v := c.server
 	t := &Ticket{
 		Server: v.Server, Warm: c.warm, Wait: c.wait, Run: c.run, shard: s, server: v, known: c.known,
-		route: q.Route, object: q.Object, started: now, queued: v.load()+1 > float64(v.Slots), queue: 1,
+		route: q.Route, object: q.Object, started: now, queued: v.load()+1 > float64(v.Slots), queue: 2,
 	}
 	if v.faults > 0 && v.pause > 0 {
 		v.probing = true
@@ -61,8 +61,18 @@
 	}
 }
 
+// Heard tells whether the server has answered any request since this one was sent.
+func (t *Ticket) Heard() bool {
+	t.shard.mu.Lock()
+	defer t.shard.mu.Unlock()
+	return t.server.heard.After(t.started)
+}
+
 func (t *Ticket) learn(now time.Time, o Outcome) {
 	v := t.server
+	if o.Result == Answered || o.Result == Failed || o.Result == Shed {
+		v.heard = now
+	}
 	switch o.Result {
 	case Answered:
 		v.succeeded()
--- a/core/place/weights.go
+++ b/core/place/weights.go
@@ -18,10 +18,19 @@
 	return Weights{
 		Zone: 10 * time.Millisecond, Region: 20 * time.Millisecond,
 		ZoneByte: 2 * time.Millisecond, RegionByte: 3 * time.Millisecond,
-		Failure: 400 * time.Millisecond, Queue: 1,
+		Failure: 400 * time.Millisecond, Queue: 2,
 	}
 }
 
+// rankStep is the part of the queue that each less urgent rank may not use.
+const rankStep = 0.25
+
+// room returns how many requests of a rank may run or wait at a server.
+func (w Weights) room(slots, rank int) float64 {
+	queue := w.Queue * max(0, 1-rankStep*float64(rank))
+	return float64(slots) * (1 + queue)
+}
+
 const kilobyte = 1000
 
 // way returns what it costs to reach a backend server from the place, and to send the bytes there and back.
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -64,8 +65,12 @@
 	if q.sent == 0 && q.unsent == 0 {
 		e.budget(q.service).First()
 	}
-	deadline := e.tryDeadline(q, ticket)
-	answer, connected, err := e.seams.Pool.Do(q.ctx, server.Address, q.outgoing(server.ID, deadline), deadline)
+	ctx, end := context.WithCancel(q.ctx)
+	defer end()
+	stop := e.watchdog(q, ticket, end)
+	deadline := q.deadline.Add(-answerMargin)
+	answer, connected, err := e.seams.Pool.Do(ctx, server.Address, q.outgoing(server.ID, deadline), deadline)
+	stop()
 	now := time.Now()
 	if !errors.Is(err, conns.ErrNotSent) {
 		q.sent++
@@ -80,18 +85,19 @@
 	return reply
 }
 
-// tryDeadline returns how long this try may take. An idempotent request leaves time for a server that does answer.
-func (e *Edge) tryDeadline(q *request, t *place.Ticket) time.Time {
-	deadline := q.deadline.Add(-answerMargin)
+// watchdog ends a try whose server has answered nothing since it was sent, early enough for another server to be tried.
+// A server that answers others is at work, and the request keeps its place there.
+func (e *Edge) watchdog(q *request, t *place.Ticket, end context.CancelFunc) (stop func() bool) {
 	if !q.idempotent() || q.sent+1 >= q.route.Attempts {
-		return deadline
+		return func() bool { return true }
 	}
-	left := time.Until(deadline)
+	left := time.Until(q.deadline)
 	try := max(patience*(t.Wait+t.Run), time.Duration(retryPortion*float64(left)))
-	if try >= left {
-		return deadline
-	}
-	return time.Now().Add(try)
+	return time.AfterFunc(try, func() {
+		if !e.seams.Leaving() && !t.Heard() {
+			end()
+		}
+	}).Stop
 }
 
 // read makes the reply out of what a server answered, and says what it shows of the server.
--- a/io/edge/request.go
+++ b/io/edge/request.go
@@ -128,7 +128,7 @@
 func (q *request) query() place.Query {
 	homes, limited := table.Homes(q.route, q.teamed)
 	query := place.Query{
-		Service: q.service, Version: q.version, Route: q.route.Name, Aim: q.route.Aim, Rank: q.rank(),
+		Service: q.service, Version: q.version, Route: q.route.Name, Aim: q.route.Aim, Started: q.started, Rank: q.rank(),
 		Bytes: float64(max(q.r.ContentLength, 0)) + assumedAnswer, Deadline: q.deadline,
 		Homes: homes, Limited: limited, Tried: q.tried,
 	}
