--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -17,6 +18,7 @@
 	"jayshift/core/roster"
 	"jayshift/core/table"
 	"jayshift/io/conns"
+	"jayshift/io/httpd"
 )
 
 // Seams are what an edge needs from the rest of the process.
@@ -77,17 +79,15 @@
 // InFlight returns how many requests run.
 func (e *Edge) InFlight() int { return int(e.inFlight.Load()) }
 
-// ServeHTTP answers one request of a caller.
-func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// Serve answers one request of a caller; the context ends when the caller leaves.
+func (e *Edge) Serve(ctx context.Context, r *http.Request) *httpd.Reply {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	if e.seams.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
-	q := newRequest(&e.seams.Dialect, r, time.Now())
+	q := newRequest(ctx, &e.seams.Dialect, r, time.Now())
 	reply := e.answer(q)
 	e.count(q, reply)
-	reply.write(w, q, e)
+	e.log(q, reply)
+	return reply.http(q)
 }
 
 // answer finds the reply to a request.
--- a/io/edge/reply.go
+++ b/io/edge/reply.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 	"jayshift/core/ident"
 	"jayshift/core/place"
 	"jayshift/io/conns"
+	"jayshift/io/httpd"
 )
 
 type identServer = ident.BackendServer
@@ -116,25 +116,27 @@
 
 const shedAfter = 100 * time.Millisecond
 
-// write sends the reply. An answer that breaks off ends the connection, so that it does not look whole.
-func (r *reply) write(w http.ResponseWriter, q *request, e *Edge) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime))
+// http makes the reply as the caller gets it.
+func (r *reply) http(q *request) *httpd.Reply {
 	switch {
 	case r.abort:
-		panic(http.ErrAbortHandler)
+		return &httpd.Reply{Abort: true}
 	case r.answer == nil:
-		r.writeOwn(w, q)
-	default:
-		r.pass(w, q)
+		return r.own(q)
+	}
+	a := r.answer
+	h := a.Header
+	stripConnection(h)
+	length, stated := r.length(q)
+	if !stated {
+		length = -1
 	}
-	e.log(q, r)
+	return &httpd.Reply{Status: a.Status, Header: h, Body: a.Body, Rest: a.Rest, Length: length}
 }
 
-const writeTime = 15 * time.Second
-
-func (r *reply) writeOwn(w http.ResponseWriter, q *request) {
-	h := w.Header()
-	h.Set("Content-Type", "text/plain")
+// own makes an answer of jayshift's own.
+func (r *reply) own(q *request) *httpd.Reply {
+	h := http.Header{"Content-Type": {"text/plain"}}
 	if id := q.id(); id != "" {
 		h.Set(q.dialect.RequestID, id)
 	}
@@ -142,35 +144,11 @@
 		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(r.after.Seconds()*100)/100, 'f', -1, 64))
 	}
 	text := string(r.outcome) + "\n"
-	h.Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(r.status)
-	_, _ = io.WriteString(w, text)
-}
-
-// pass sends a backend server's answer unchanged.
-func (r *reply) pass(w http.ResponseWriter, q *request) {
-	a := r.answer
-	if a.Rest != nil {
-		defer func() { _ = a.Rest.Close() }()
-	}
-	h := w.Header()
-	stripConnection(a.Header)
-	for name, values := range a.Header {
-		h[name] = values
-	}
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil // keeps net/http from guessing one
-	}
-	if length, ok := r.length(q); ok {
-		h.Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	w.WriteHeader(a.Status)
-	if _, err := w.Write(a.Body); err != nil || a.Rest == nil {
-		return
-	}
-	if _, err := io.Copy(w, a.Rest); err != nil {
-		panic(http.ErrAbortHandler)
+	reply := &httpd.Reply{Status: r.status, Header: h, Length: int64(len(text))}
+	if q.r.Method != http.MethodHead {
+		reply.Body = []byte(text)
 	}
+	return reply
 }
 
 // length returns the length of the body as it is passed on; answers without a body state none of their own.
--- a/io/edge/request.go
+++ b/io/edge/request.go
@@ -50,8 +50,8 @@
 	servers []ident.BackendServer // that it was sent to, for the log
 }
 
-func newRequest(d *Dialect, r *http.Request, now time.Time) *request {
-	return &request{dialect: d, r: r, ctx: r.Context(), started: now, deadline: now.Add(defaultWait)}
+func newRequest(ctx context.Context, d *Dialect, r *http.Request, now time.Time) *request {
+	return &request{dialect: d, r: r, ctx: ctx, started: now, deadline: now.Add(defaultWait)}
 }
 
 func (q *request) id() string { return q.r.Header.Get(q.dialect.RequestID) }
--- a/io/node/life.go
+++ b/io/node/life.go
@@ -12,16 +12,13 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"jayshift/io/httpd"
 	"jayshift/io/peer"
 	"jayshift/io/serve"
 )
 
 const (
-	headerTimeout  = 10 * time.Second // for the header of a request, beyond what any configuration allows
-	idleTimeout    = 60 * time.Second
-	headerBytes    = 64 << 10
 	stopMargin     = 600 * time.Millisecond // kept before the platform kills the process
 	takePortion    = 0.5                    // of the grace during which a stopping host still takes connections
 	quietTime      = 700 * time.Millisecond // without any request after which a stopping host takes no more
@@ -48,26 +45,29 @@
 	links := http.NewServeMux()
 	links.Handle("GET /v1/link", n.mesh)
 	links.HandleFunc("GET "+peer.CopyPath, n.peers.ServeCopy)
-	callers := serve.New(listeners["caller"], n.edge)
-	callers.ReadHeaderTimeout = headerTimeout
-	callers.IdleTimeout = idleTimeout
-	callers.MaxHeaderBytes = headerBytes
-	n.servers = []*khttp.Server{
-		callers, serve.New(listeners["directory"], n.platform.Directory(n.directory)),
+	n.callers = httpd.New(listeners["caller"], n.log)
+	n.callers.Handle, n.callers.Leaving, n.callers.Limits = n.edge.Serve, n.leaving.Load, n.limits
+	servers := []transport.Server{
+		n.callers, serve.New(listeners["directory"], n.platform.Directory(n.directory)),
 		serve.New(listeners["ready"], n.platform.Ready(n.ready)), serve.New(listeners["link"], links),
 		serve.New(listeners["metrics"], http.NotFoundHandler()),
 	}
 	serve.SetFrameworkLog(n.log)
-	transports := make([]transport.Server, len(n.servers))
-	for i, s := range n.servers {
-		transports[i] = s
-	}
 	n.app = kratos.New(
-		kratos.Name("jayshift"), kratos.Server(transports...),
+		kratos.Name("jayshift"), kratos.Server(servers...),
 		kratos.BeforeStop(n.beforeStop), kratos.StopTimeout(n.platform.Grace),
 	)
 }
 
+// limits returns what callers may send by the configuration in force.
+func (n *Node) limits() httpd.Limits {
+	t := n.watch.Table()
+	if t == nil {
+		return httpd.Limits{}
+	}
+	return httpd.Limits{HeaderBytes: t.Limits.HeaderBytes, HeaderTime: t.Limits.HeaderTime, IdleTime: t.Limits.IdleTime}
+}
+
 // Run serves until the process is told to stop.
 func (n *Node) Run() error {
 	go n.watch.Run(n.ctx)
@@ -121,7 +121,7 @@
 func (n *Node) stopTaking(stopped time.Time) {
 	ctx, cancel := context.WithDeadline(n.ctx, stopped.Add(n.platform.Grace-stopMargin))
 	defer cancel()
-	if err := n.servers[0].Shutdown(ctx); err != nil {
+	if err := n.callers.Stop(ctx); err != nil {
 		n.log.Warn("requests cut at the end of the grace", "in-flight", n.edge.InFlight(), "error", err.Error())
 	}
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"jayshift/core/ident"
 	"jayshift/core/place"
@@ -19,6 +18,7 @@
 	"jayshift/core/wire"
 	"jayshift/io/conns"
 	"jayshift/io/edge"
+	"jayshift/io/httpd"
 	"jayshift/io/link"
 	"jayshift/io/peer"
 	"jayshift/io/roll"
@@ -57,7 +57,7 @@
 	platform Platform
 	log      *slog.Logger
 	app      *kratos.App
-	servers  []*khttp.Server
+	callers  *httpd.Server
 	ctx      context.Context
 	cancel   context.CancelFunc
 	leaving  atomic.Bool
