--- a/core/place/place.go
+++ b/core/place/place.go
@@ -249,7 +249,11 @@
 // excludes returns why the server cannot take the request now, and when it may.
 func (s *shard) excludes(now time.Time, q Query, settings *Settings, c candidate) (Reason, time.Duration) {
 	v := c.server
-	if over := v.load() + 1 - settings.Weights.room(v.Slots, q.Rank); over > 0 {
+	room := settings.Weights.room(v.Slots, q.Rank)
+	if !c.warm {
+		room = settings.Weights.Stray * float64(v.Slots)
+	}
+	if over := v.load() + 1 - room; over > 0 {
 		return Full, s.drain(v, over, c.run)
 	}
 	if over := now.Add(c.answer).Sub(q.Deadline); over > 0 {
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -12,7 +12,8 @@
 
 const (
 	assumedRoundTrip = 100 * time.Millisecond // to another region, until one was measured
-	loadMemory       = 400 * time.Millisecond // time constant of what other hosts were seen to add
+	loadMemory       = 250 * time.Millisecond // time constant of what other hosts were seen to add
+	loadFades        = 2 * time.Second        // without any answer, after which what was seen counts half
 	failureWeight    = 0.15                   // of one outcome in the failure rate
 	slowWeight       = 0.1                    // of one answer in the slowness
 	mostSlow         = 20.0
@@ -83,8 +84,6 @@
 	if s.reported.IsZero() {
 		keep = 0
 	}
-	// Half of the news counts at least, since requests of other hosts come and go within one answer's time.
-	keep = min(keep, 0.5)
 	s.others = keep*s.others + (1-keep)*seen
 	s.reported = now
 	if l.Slots > 0 {
@@ -100,11 +99,10 @@
 
 // faded lets what was seen of other hosts fade while no answer comes that states it.
 func (s *server) faded(now time.Time) {
-	if s.others == 0 || now.Sub(s.reported) < 2*loadMemory {
-		return
+	if s.others > 0 && now.Sub(s.reported) >= loadFades {
+		s.others /= 2
+		s.reported = now
 	}
-	s.others /= 2
-	s.reported = now.Add(-loadMemory)
 }
 
 func (s *server) isCold(now time.Time) bool { return now.Before(s.ColdUntil) }
--- a/core/place/ticket.go
+++ b/core/place/ticket.go
@@ -40,6 +40,7 @@
 		v.paced--
 	}
 	v.inFlight++
+	s.mean = blend(s.mean, c.run)
 	return t
 }
 
@@ -77,6 +78,7 @@
 	case Answered:
 		v.succeeded()
 		v.learn(now, t.object)
+		t.queued = t.queued || o.Load != nil && o.Load.Waiting > 0
 		t.timed(now)
 	case Failed:
 		v.failed()
@@ -101,7 +103,6 @@
 // of a server where other hosts may have run the object.
 func (t *Ticket) timed(now time.Time) {
 	took := t.took(now)
-	t.shard.mean = blend(t.shard.mean, took)
 	if t.queued || t.server.isCold(now) || t.Warm && !t.known {
 		return
 	}
--- a/core/place/weights.go
+++ b/core/place/weights.go
@@ -11,6 +11,7 @@
 	RegionByte time.Duration // for 1000 bytes to or from another region
 	Failure    time.Duration // for a certain failure; a likely one costs its part
 	Queue      float64       // requests that may wait at a backend server, for each of its slots
+	Stray      float64       // part of the slots that may run requests on objects that do not live there
 }
 
 // DefaultWeights serve deployments where bytes between zones cost about as much as a late answer.
@@ -18,7 +19,7 @@
 	return Weights{
 		Zone: 10 * time.Millisecond, Region: 20 * time.Millisecond,
 		ZoneByte: 2 * time.Millisecond, RegionByte: 3 * time.Millisecond,
-		Failure: 400 * time.Millisecond, Queue: 2,
+		Failure: 400 * time.Millisecond, Queue: 2, Stray: 0.5,
 	}
 }
 
