Keep the share of requests that run in other regions smooth; try beside a silent server

The share of each region now moves by at most 6% a second from a prior by slots; a silent server's try goes on beside a second one.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -81,6 +81,7 @@
 // Board holds the backend servers of all services.
 type Board struct {
 	settings Settings
+	spill    *spill
 
 	mu     sync.RWMutex
 	shards map[ident.Service]*shard
@@ -97,7 +98,7 @@
 
 // New returns a board without servers.
 func New(s Settings) *Board {
-	return &Board{settings: s, shards: map[ident.Service]*shard{}}
+	return &Board{settings: s, spill: newSpill(), shards: map[ident.Service]*shard{}}
 }
 
 // Update takes in the servers that may be used now, with the rate that cold servers of each service bear. What is
@@ -117,6 +118,11 @@
 	for service, s := range b.shards {
 		s.update(byService[service], coldRate(service))
 	}
+	slots := map[ident.Region]float64{}
+	for _, e := range list {
+		slots[e.Region] += float64(e.Slots)
+	}
+	b.spill.begin(b.settings.Place.Region, slots)
 }
 
 func (s *shard) update(list []roster.Entry, coldRate float64) {
@@ -156,13 +162,27 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best, refusal := s.cheapest(now, q, &b.settings)
+	found := s.cheapest(now, q, &b.settings)
+	best := b.within(now, found)
 	if best.server == nil {
-		return nil, refusal
+		return nil, found.refusal
 	}
 	return s.take(now, q, best), nil
 }
 
+// within holds the choice to the share of requests that may run in each region.
+func (b *Board) within(now time.Time, f findings) candidate {
+	if f.best.server == nil {
+		return f.resort
+	}
+	if !f.near {
+		return f.best // none of the own region's servers works, so that there is nothing to hold on to
+	}
+	own := b.settings.Place.Region
+	region := b.spill.choose(now, own, f.best.server.Region, func(r ident.Region) bool { return f.regions[r].server != nil })
+	return f.regions[region]
+}
+
 // candidate is a server with what a choice of it would cost.
 type candidate struct {
 	server *server
@@ -174,10 +194,18 @@
 	known  bool // by what this host ran there
 }
 
+// findings are the cheapest servers for a request.
+type findings struct {
+	best    candidate                  // of all
+	regions map[ident.Region]candidate // in each region
+	resort  candidate                  // among paused ones, the one that waited longest and may work again
+	near    bool                       // the own region has a server that may run such requests, if not now
+	refusal *Refusal
+}
+
 // cheapest compares all servers that may run the request. The shard is locked.
-func (s *shard) cheapest(now time.Time, q Query, settings *Settings) (candidate, *Refusal) {
-	var best, resort candidate
-	refusal := &Refusal{Reason: NoServer, After: noServerAfter}
+func (s *shard) cheapest(now time.Time, q Query, settings *Settings) findings {
+	f := findings{regions: map[ident.Region]candidate{}, refusal: &Refusal{Reason: NoServer, After: noServerAfter}}
 	lives := s.homes(now, q, settings.Place)
 	w := s.workOf(q.Route)
 	for _, v := range s.servers {
@@ -186,24 +214,37 @@
 		}
 		v.faded(now)
 		c := s.weigh(now, q, settings, v, w, lives)
+		paused := now.Before(v.paused) || v.probing
+		f.near = f.near || v.Region == settings.Place.Region && !paused && !v.isCold(now)
 		if reason, after := s.excludes(now, q, settings, c); reason != "" {
-			refusal.add(reason, after)
+			f.refusal.add(reason, after)
 			continue
 		}
-		if now.Before(v.paused) || v.probing {
-			if !v.probing && (resort.server == nil || v.paused.Before(resort.server.paused)) {
-				resort = c
-			}
+		if paused {
+			f.setResort(c)
 			continue
 		}
-		if best.server == nil || c.cost < best.cost {
-			best = c
-		}
+		f.set(c)
 	}
-	if best.server == nil {
-		best = resort // all are paused: the one that waited longest may work again
+	return f
+}
+
+func (f *findings) set(c candidate) {
+	if f.best.server == nil || c.cost < f.best.cost {
+		f.best = c
+	}
+	if r, ok := f.regions[c.server.Region]; !ok || c.cost < r.cost {
+		f.regions[c.server.Region] = c
+	}
+}
+
+func (f *findings) setResort(c candidate) {
+	if c.server.probing {
+		return
+	}
+	if f.resort.server == nil || c.server.paused.Before(f.resort.server.paused) {
+		f.resort = c
 	}
-	return best, refusal
 }
 
 // suits tells whether the server may ever run the request.
@@ -350,8 +391,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if best, refusal := s.cheapest(now, q, &b.settings); best.server == nil {
-		return refusal
+	if f := s.cheapest(now, q, &b.settings); f.best.server == nil && f.resort.server == nil {
+		return f.refusal
 	}
 	return nil
 }
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"jayshift/core/ident"
 	"jayshift/core/place"
 	"jayshift/io/conns"
 )
@@ -14,40 +15,123 @@
 const (
 	mostUnsent   = 4 // servers that could not be reached before a request is given up
 	leastLeft    = 10 * time.Millisecond
-	patience     = 4   // times the expected time before an idempotent request is tried elsewhere
-	retryPortion = 0.6 // of the time left that a first try may take, when another could follow
 	answerMargin = 5 * time.Millisecond
+	// A server is silent when it has answered nothing for so many times the expected time, and for this part of the time
+	// that was left.
+	silentFactor  = 4
+	silentPortion = 0.5
 )
 
+// result is how one try ended.
+type result struct {
+	reply  *reply
+	server ident.BackendServer
+	sent   bool // a byte of the request may have reached the server
+}
+
 // run sends the request until there is an answer to pass on, or nothing more may be tried.
+//
+// A try whose server has answered nothing for long is not given up, since it may still be answered: a second one runs
+// beside it, and the first answer counts.
 func (e *Edge) run(q *request) *reply {
+	ctx, end := context.WithCancel(q.ctx)
+	defer end() // tells the servers of other tries that their answers are not waited for
+	results := make(chan result, q.route.Attempts+mostUnsent)
 	var last *reply
 	for {
-		q.version = e.seams.Version(q.service)
-		ticket, no := e.seams.Board.Pick(time.Now(), q.query())
-		if no != nil {
+		ticket, no := e.start(ctx, q, results)
+		if ticket == nil && q.running == 0 {
 			return q.giveUp(last, no)
 		}
-		if q.sent > 0 && !e.budget(q.service).Spend() {
-			ticket.End(time.Now(), place.Outcome{Result: place.Abandoned})
-			return q.giveUp(last, nil)
+		r, silent := e.await(q, ticket, results)
+		if silent {
+			continue
+		}
+		q.note(r)
+		if r.reply.verdict == passOn {
+			return r.reply
+		}
+		if r.reply.better(last) {
+			last = r.reply
 		}
-		reply := e.attempt(q, ticket)
-		if !e.mayRetry(q, reply) {
-			return q.settle(reply, last)
+		for q.running > 0 && !e.mayRetry(q, r.reply) {
+			r = <-results
+			q.note(r)
+			if r.reply.verdict == passOn {
+				return r.reply
+			}
 		}
-		if reply.better(last) {
-			last = reply
+		if !e.mayRetry(q, r.reply) {
+			return q.settle(last)
 		}
 	}
 }
 
+// start begins a try at the server that suits best; it returns no ticket if none can take the request now, or the
+// retries are used up.
+func (e *Edge) start(ctx context.Context, q *request, results chan<- result) (*place.Ticket, *place.Refusal) {
+	q.version = e.seams.Version(q.service)
+	ticket, no := e.seams.Board.Pick(time.Now(), q.query())
+	if no != nil {
+		return nil, no
+	}
+	budget := e.budget(q.service)
+	switch {
+	case q.sent+q.unsent+q.running == 0:
+		budget.First()
+	case q.sent+q.running > 0 && !budget.Spend():
+		ticket.End(time.Now(), place.Outcome{Result: place.Abandoned})
+		return nil, nil
+	}
+	q.tried = append(q.tried, ticket.Server.ID)
+	q.running++
+	if q.idempotent() {
+		go e.attempt(ctx, q, ticket, results)
+	} else {
+		e.attempt(ctx, q, ticket, results)
+	}
+	return ticket, nil
+}
+
+// await waits for the end of a try, or until the server of the latest one has been silent for so long that another one
+// should run beside it.
+func (e *Edge) await(q *request, t *place.Ticket, results <-chan result) (r result, silent bool) {
+	if t == nil || !q.idempotent() || !q.replayable() || q.sent+q.running >= q.route.Attempts {
+		return <-results, false
+	}
+	left := time.Until(q.deadline)
+	patience := max(silentFactor*(t.Wait+t.Run), time.Duration(silentPortion*float64(left)))
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case r = <-results:
+		return r, false
+	case <-timer.C:
+	}
+	if t.Heard() {
+		return <-results, false // the server is at work, and the request keeps its place there
+	}
+	return result{}, true
+}
+
+// note counts a try that has ended.
+func (q *request) note(r result) {
+	q.running--
+	if !r.sent {
+		q.unsent++
+		return
+	}
+	q.sent++
+	q.servers = append(q.servers, r.server)
+	q.mayRun = q.mayRun || r.reply.verdict == mayHaveRun || r.reply.verdict == passOn
+}
+
 // mayRetry tells whether the request may be sent to another server after the reply.
 func (e *Edge) mayRetry(q *request, r *reply) bool {
-	if r.verdict == passOn || q.ctx.Err() != nil || time.Until(q.deadline) < leastLeft {
+	if q.ctx.Err() != nil || time.Until(q.deadline) < leastLeft || q.running > 0 {
 		return false
 	}
-	if r.verdict == mayHaveRun && !q.idempotent() {
+	if q.mayRun && !q.idempotent() {
 		return false
 	}
 	if r.verdict == notSent {
@@ -57,53 +141,24 @@
 }
 
 // attempt sends the request to one server.
-func (e *Edge) attempt(q *request, ticket *place.Ticket) *reply {
+func (e *Edge) attempt(ctx context.Context, q *request, ticket *place.Ticket, results chan<- result) {
 	server := &ticket.Server
-	q.tried = append(q.tried, server.ID)
 	e.track(server, 1)
 	defer e.track(server, -1)
-	if q.sent == 0 && q.unsent == 0 {
-		e.budget(q.service).First()
-	}
-	ctx, end := context.WithCancel(q.ctx)
-	defer end()
-	stop := e.watchdog(q, ticket, end)
 	deadline := q.deadline.Add(-answerMargin)
 	answer, connected, err := e.seams.Pool.Do(ctx, server.Address, q.outgoing(server.ID, deadline), deadline)
-	stop()
 	now := time.Now()
-	if !errors.Is(err, conns.ErrNotSent) {
-		q.sent++
-		q.servers = append(q.servers, server.ID)
-	} else {
-		q.unsent++
-	}
-	reply, outcome := e.read(q, ticket, answer, err)
+	reply, outcome := e.read(ctx, q, ticket, answer, err)
 	outcome.Connected = connected
 	e.judge(q, ticket, outcome.Result, now)
 	ticket.End(now, outcome)
-	return reply
-}
-
-// watchdog ends a try whose server has answered nothing since it was sent, early enough for another server to be tried.
-// A server that answers others is at work, and the request keeps its place there.
-func (e *Edge) watchdog(q *request, t *place.Ticket, end context.CancelFunc) (stop func() bool) {
-	if !q.idempotent() || q.sent+1 >= q.route.Attempts {
-		return func() bool { return true }
-	}
-	left := time.Until(q.deadline)
-	try := max(patience*(t.Wait+t.Run), time.Duration(retryPortion*float64(left)))
-	return time.AfterFunc(try, func() {
-		if !e.seams.Leaving() && !t.Heard() {
-			end()
-		}
-	}).Stop
+	results <- result{reply: reply, server: server.ID, sent: !errors.Is(err, conns.ErrNotSent)}
 }
 
 // read makes the reply out of what a server answered, and says what it shows of the server.
-func (e *Edge) read(q *request, t *place.Ticket, a *conns.Answer, err error) (*reply, place.Outcome) {
+func (e *Edge) read(ctx context.Context, q *request, t *place.Ticket, a *conns.Answer, err error) (*reply, place.Outcome) {
 	if err != nil {
-		return e.unanswered(q, t, err)
+		return e.unanswered(ctx, q, t, err)
 	}
 	load, stated := q.dialect.ParseLoad(a.Header.Get(q.dialect.Load))
 	outcome := place.Outcome{Result: place.Answered}
@@ -120,11 +175,9 @@
 		outcome.Result = place.Shed
 		return retryable(outcomeShed, notRun), outcome
 	case a.Header.Get("Content-Encoding") != "" || !signed && a.Status < http.StatusMultipleChoices:
-		q.mayRun = true
 		outcome.Result = place.Broken
 		return retryable(outcomeForeign, mayHaveRun), outcome
 	case a.Status >= http.StatusInternalServerError:
-		q.mayRun = true
 		outcome.Result = place.Failed
 		r := passed(a, mayHaveRun)
 		r.outcome = outcomeServerFailed
@@ -135,18 +188,19 @@
 }
 
 // unanswered makes the reply to an attempt that got no answer.
-func (e *Edge) unanswered(q *request, t *place.Ticket, err error) (*reply, place.Outcome) {
+func (e *Edge) unanswered(ctx context.Context, q *request, t *place.Ticket, err error) (*reply, place.Outcome) {
 	switch {
-	case errors.Is(err, conns.ErrNotSent) && q.ctx.Err() == nil:
+	case ctx.Err() != nil:
+		v := mayHaveRun
+		if errors.Is(err, conns.ErrNotSent) {
+			v = notSent
+		}
+		return retryable(outcomeAbandoned, v), place.Outcome{Result: place.Abandoned}
+	case errors.Is(err, conns.ErrNotSent):
 		return retryable(outcomeUnreachable, notSent), place.Outcome{Result: place.Unreachable}
-	case q.ctx.Err() != nil:
-		q.mayRun = true
-		return retryable(outcomeAbandoned, mayHaveRun), place.Outcome{Result: place.Abandoned}
 	case errors.Is(err, conns.ErrSilent):
-		q.mayRun = true
 		return retryable(outcomeSilent, mayHaveRun), place.Outcome{Result: place.Silent}
 	}
-	q.mayRun = true
 	if e.seams.Poison.Strike(time.Now(), q.fingerprint(), t.Server.ID) {
 		e.seams.Strike(q.fingerprint(), t.Server.ID)
 	}
@@ -172,7 +226,7 @@
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Authorization", "Content-Length", "Expect"}
 
 // outgoing is the request that a backend server sees: without the caller's key, with the time that is left.
-func (q *request) outgoing(server identServer, deadline time.Time) conns.Request {
+func (q *request) outgoing(server ident.BackendServer, deadline time.Time) conns.Request {
 	h := q.r.Header.Clone()
 	stripConnection(h)
 	d := q.dialect
--- a/io/edge/reply.go
+++ b/io/edge/reply.go
@@ -7,14 +7,11 @@
 	"strings"
 	"time"
 
-	"jayshift/core/ident"
 	"jayshift/core/place"
 	"jayshift/io/conns"
 	"jayshift/io/httpd"
 )
 
-type identServer = ident.BackendServer
-
 // Outcome names what became of a request, in logs and metrics.
 type Outcome string
 
@@ -87,7 +84,7 @@
 		return refusal(Outcome(no.Reason), http.StatusServiceUnavailable, no.After)
 	}
 	if last.answer != nil || q.mayRun {
-		return q.settle(last, nil)
+		return q.settle(last)
 	}
 	r := refusal(last.outcome, http.StatusServiceUnavailable, leastRetryAfter)
 	if no != nil {
@@ -96,11 +93,8 @@
 	return r
 }
 
-// settle makes an attempt's reply final. What may have run is never called not run.
-func (q *request) settle(r, last *reply) *reply {
-	if r.answer == nil && last != nil && last.answer != nil {
-		r = last
-	}
+// settle makes the reply of the last try final. What may have run is never called not run.
+func (q *request) settle(r *reply) *reply {
 	if r.answer != nil {
 		return r
 	}
--- a/io/edge/request.go
+++ b/io/edge/request.go
@@ -43,8 +43,9 @@
 	stream   io.Reader // what follows the body that was kept, nil for none
 	print    poison.Print
 
-	sent    int // attempts that may have reached a backend server
-	unsent  int // attempts that did not
+	running int // tries that have not ended
+	sent    int // tries that may have reached a backend server
+	unsent  int // tries that did not
 	mayRun  bool
 	tried   []ident.BackendServer
 	servers []ident.BackendServer // that it was sent to, for the log
