--- a/core/place/objects.go
+++ b/core/place/objects.go
@@ -12,28 +12,48 @@
 	objectsFit = 24
 )
 
-// objects counts the objects that requests were about lately.
+// objects knows the objects that requests were about lately.
 type objects struct {
-	begun  time.Time
-	now    map[ident.Object]bool
-	before int  // in the span before
-	whole  bool // a whole span was counted
+	begun  time.Time // of the span that runs
+	known  map[ident.Object]*object
+	now    int // objects of this span
+	before int // objects of the span before
 }
 
-func newObjects() objects { return objects{now: map[ident.Object]bool{}} }
+// object is what is known of one object.
+type object struct {
+	seen time.Time
+	paid time.Duration // cost of running it in other zones of the region, since it lives there
+}
 
-func (o *objects) see(now time.Time, object ident.Object) {
-	if o.begun.IsZero() {
-		o.begun = now
-	}
+func newObjects() objects { return objects{known: map[ident.Object]*object{}} }
+
+// see notes that a request is about the object.
+func (o *objects) see(now time.Time, id ident.Object) *object {
 	if now.Sub(o.begun) >= objectSpan {
-		o.before, o.begun, o.whole = len(o.now), now, true
-		clear(o.now)
+		o.turn(now)
+	}
+	known := o.known[id]
+	if known == nil {
+		known = &object{}
+		o.known[id] = known
 	}
-	o.now[object] = true
+	if known.seen.Before(o.begun) || known.seen.IsZero() {
+		o.now++
+	}
+	known.seen = now
+	return known
 }
 
-// fit tells whether so many servers remember all objects; false until a whole span was counted.
-func (o *objects) fit(servers int) bool {
-	return o.whole && max(o.before, len(o.now)) <= objectsFit*servers
+// turn begins a new span, and forgets objects that were not seen in the last one.
+func (o *objects) turn(now time.Time) {
+	for id, known := range o.known {
+		if known.seen.Before(o.begun) {
+			delete(o.known, id)
+		}
+	}
+	o.before, o.now, o.begun = o.now, 0, now
 }
+
+// fit tells whether so many servers remember all objects.
+func (o *objects) fit(servers int) bool { return max(o.before, o.now) <= objectsFit*servers }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -167,6 +167,9 @@
 	if best.server == nil {
 		return nil, found.refusal
 	}
+	if v := best.server; q.Object != "" && v.Region == b.settings.Place.Region {
+		s.objects.see(now, q.Object).paid += b.settings.Weights.way(b.settings.Place, v, q.Bytes)
+	}
 	return s.take(now, q, best), nil
 }
 
@@ -323,7 +326,6 @@
 		server *server
 		score  uint64
 	}
-	s.objects.see(now, q.Object)
 	byZone := s.livesInZone(now, q, from)
 	object := xxhash.Sum64String(string(q.Object))
 	groups := map[group]best{}
@@ -353,9 +355,14 @@
 	zone   ident.AvailabilityZone // empty for all of the region
 }
 
-// livesInZone tells whether the servers of the own zone can remember all objects, so that none needs to live in
-// another zone.
+// livesInZone tells whether the object lives at a server of the own zone: once its runs in other zones have cost as much
+// as a run at a server that does not know it, if the own zone's servers can remember all objects.
 func (s *shard) livesInZone(now time.Time, q Query, from Place) bool {
+	o := s.objects.see(now, q.Object)
+	w := s.workOf(q.Route)
+	if o.paid < w.expected(false, q.Aim)-w.expected(true, q.Aim) {
+		return false
+	}
 	servers := 0
 	for _, v := range s.servers {
 		if v.Zone == from.Zone && !v.Draining && !v.isCold(now) && (q.Version == "" || v.Version == q.Version) {
