Let one host a region read the store and pass changes on

One host a region reads; the others hold a question at it and get what changed in meaning; they read for themselves when it fails or has not heard from the store for 1.2 s.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -168,9 +168,7 @@
 		a.count(now)
 		a.agreed = min(a.stated, a.demand)
 		a.stated = a.demand
-		if a.demand > leastDemand {
-			uses[team] = Use{Demand: a.demand, Passed: a.passed}
-		}
+		uses[team] = Use{Demand: a.demand, Passed: a.passed}
 	}
 	b.share(now)
 	b.setFree(now)
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -49,6 +49,9 @@
 	// Keys that are set, or that changed.
 	Items []Item `json:"items,omitempty,omitzero" cbor:"items,omitempty"`
 
+	// True while keys may be missing since the store was away.
+	Regained bool `json:"regained" cbor:"regained"`
+
 	// Store revision up to which the list is complete.
 	Revision int `json:"revision" cbor:"revision"`
 }
@@ -94,17 +97,14 @@
 
 // Heartbeat of an edge host to its peers.
 type EdgeHeartbeat struct {
-	// Requests a second that each team asks of the host.
-	Demand EdgeHeartbeatDemand `json:"demand,omitempty,omitzero" cbor:"demand,omitempty"`
-
 	// True once the host was told to stop.
 	Leaving bool `json:"leaving" cbor:"leaving"`
 
 	// Requests running on replaced backend versions, by service.
 	Old EdgeHeartbeatOld `json:"old,omitempty,omitzero" cbor:"old,omitempty"`
 
-	// Requests of each team that the host has let through since its start.
-	Passed EdgeHeartbeatPassed `json:"passed,omitempty,omitzero" cbor:"passed,omitempty"`
+	// True while the host reads the platform store without faults.
+	Reads bool `json:"reads" cbor:"reads"`
 
 	// True while the host takes new callers.
 	Ready bool `json:"ready" cbor:"ready"`
@@ -112,19 +112,20 @@
 	// Store revision that the host knows to be complete.
 	Revision int `json:"revision" cbor:"revision"`
 
+	// Checksum of the names of all teams in order.
+	Teams int `json:"teams" cbor:"teams"`
+
+	// For each team in order: hundredths of a request a second that are asked of the
+	// host, and requests that it has let through since its start.
+	Uses []int `json:"uses,omitempty,omitzero" cbor:"uses,omitempty"`
+
 	// Version of the configuration in force at the host.
 	Version int `json:"version" cbor:"version"`
 }
 
-// Requests a second that each team asks of the host.
-type EdgeHeartbeatDemand map[string]float64
-
 // Requests running on replaced backend versions, by service.
 type EdgeHeartbeatOld map[string]int
 
-// Requests of each team that the host has let through since its start.
-type EdgeHeartbeatPassed map[string]int
-
 // Outcomes of a backend version on one route at one host.
 type Evidence struct {
 	// Requests failed.
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -21,31 +21,32 @@
 func (n *Node) ready() bool { return n.watch.Loaded() && !n.leaving.Load() }
 
 func (n *Node) heartbeat() wire.EdgeHeartbeat {
+	names, sum := n.quota.Names()
 	h := wire.EdgeHeartbeat{
-		Ready: n.ready(), Leaving: n.leaving.Load(), Revision: int(n.watch.Revision()),
-		Demand: wire.EdgeHeartbeatDemand{}, Passed: wire.EdgeHeartbeatPassed{}, Old: wire.EdgeHeartbeatOld{},
+		Ready: n.ready(), Leaving: n.leaving.Load(), Reads: !n.watch.StoreLost(), Revision: int(n.watch.Revision()),
+		Teams: sum, Uses: quota.Encode(names, n.quota.Heartbeat(time.Now())),
 	}
 	if t := n.watch.Table(); t != nil {
 		h.Version = int(t.Version)
 	}
-	for team, use := range n.quota.Heartbeat(time.Now()) {
-		h.Demand[string(team)] = use.Demand
-		h.Passed[string(team)] = int(use.Passed)
-	}
 	for _, order := range n.watch.Orders() {
 		if to, moving := n.rolls.Moving(order.Service); moving {
+			if h.Old == nil {
+				h.Old = wire.EdgeHeartbeatOld{}
+			}
 			h.Old[string(order.Service)] = n.edge.Running(order.Service, to)
 		}
 	}
 	return h
 }
 
+// heard takes in what a peer states of the teams; while the two hosts know different teams, that it lives.
 func (n *Node) heard(host ident.Host, h wire.EdgeHeartbeat) {
-	uses := make(map[ident.Team]quota.Use, len(h.Demand))
-	for team, demand := range h.Demand {
-		uses[ident.Team(team)] = quota.Use{Demand: demand, Passed: float64(h.Passed[team])}
+	names, sum := n.quota.Names()
+	if h.Teams != sum {
+		names = nil
 	}
-	n.quota.Heard(time.Now(), host, uses)
+	n.quota.Heard(time.Now(), host, quota.Decode(names, h.Uses))
 }
 
 // handle takes in a frame from a peer.
@@ -119,6 +120,20 @@
 	return true
 }
 
+// reader returns the link address of the host that reads the store for this host's region; false when it is this one.
+func (n *Node) reader() (string, bool) {
+	if n.watch.StoreLost() {
+		return "", false
+	}
+	best, address := ident.Host(n.settings.Name), ""
+	for _, p := range n.peers.Alive(time.Now()) {
+		if string(p.Region) == n.settings.Region && p.State.Reads && p.Host < best {
+			best, address = p.Host, p.Link
+		}
+	}
+	return address, address != ""
+}
+
 // directory returns the hosts that callers of a zone should use: those of the zone, else of the region, else all.
 func (n *Node) directory(zone ident.AvailabilityZone, region ident.Region) ([]string, time.Duration) {
 	now := time.Now()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -101,6 +101,7 @@
 	n.pool = conns.New(n.platform.Dialect.RequestID)
 	n.watch = watch.New(watch.Seams{
 		Store: n.platform.Store, Decode: n.platform.Decode, Regions: s.Regions, Log: n.log, Now: time.Now, Changed: n.changed,
+		Reader: n.reader, Fetch: peer.Fetch,
 	})
 	n.mesh = link.New(link.Seams{
 		Hello: n.hello, Handle: n.handle, Scheme: "ws", Client: func() *http.Client { return http.DefaultClient },
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"jayshift/core/ident"
 	"jayshift/core/roster"
 	"jayshift/core/table"
@@ -23,6 +25,7 @@
 	// restateTime bounds the wait for a new statement of a server whose zone was evacuated. Servers are often cold at the
 	// end of an evacuation, which only a new statement tells.
 	restateTime = 2500 * time.Millisecond
+	leanTime    = 3 * time.Second // for which a host reads the store itself after its reader failed
 	allKeys     = ""
 )
 
@@ -35,6 +38,10 @@
 	Now     func() time.Time
 	// Changed is called after anything but the numbers of statements has changed.
 	Changed func()
+	// Reader returns the address of the peer that reads the store for this host, false when this host reads itself.
+	Reader func() (address string, ok bool)
+	// Fetch asks a peer for what has changed after the revision; the peer may hold its answer while nothing has.
+	Fetch func(ctx context.Context, address string, after ident.Revision) (wire.Copy, error)
 }
 
 // Watch holds what is known of the store.
@@ -43,11 +50,16 @@
 	roster *roster.Roster
 
 	mu         sync.Mutex
-	items      map[string]Item
+	items      map[string]held
+	deletions  []Item         // the latest ones
+	floor      ident.Revision // deletions up to it are not listed any more
+	news       chan struct{}  // closed at the next change
+	leanUntil  time.Time      // until when this host reads for itself, since its reader failed
 	revision   ident.Revision // the items are complete up to it
 	fresh      time.Time      // when the store or a copy last confirmed that
 	loaded     bool
 	storeLost  bool
+	regained   time.Time // until when entries may be missing since the store was away
 	table      *table.Table
 	orders     map[ident.Service]Order
 	verdicts   map[ident.Service]Verdict
@@ -60,7 +72,7 @@
 // New returns a watch that knows nothing yet.
 func New(seams Seams) *Watch {
 	return &Watch{
-		seams: seams, roster: roster.New(returnTime), items: map[string]Item{},
+		seams: seams, roster: roster.New(returnTime), items: map[string]held{}, news: make(chan struct{}),
 		orders: map[ident.Service]Order{}, verdicts: map[ident.Service]Verdict{}, stages: map[ident.Service]Stage{},
 		hosts: map[ident.Host]wire.Edge{}, evacuated: map[ident.AvailabilityZone]bool{},
 		repopulate: map[ident.AvailabilityZone]time.Time{},
@@ -71,14 +83,18 @@
 func (w *Watch) Run(ctx context.Context) {
 	go w.expire(ctx)
 	for ctx.Err() == nil {
+		if address, ok := w.reader(); ok {
+			w.followPeer(ctx, address)
+			continue
+		}
 		err := w.follow(ctx)
 		if errors.Is(err, store.ErrCompacted) {
 			w.seams.Log.Info("store dropped its history, reading all", "revision", int64(w.Revision()))
 			w.forceRead()
 			continue
 		}
-		if ctx.Err() != nil {
-			return
+		if ctx.Err() != nil || errors.Is(err, errReader) {
+			continue
 		}
 		w.lost(err)
 		select {
@@ -88,6 +104,33 @@
 	}
 }
 
+// errReader ends a watch of the store when a peer reads for this host.
+var errReader = merry.Sentinel("watch: a peer reads the store")
+
+// reader returns the peer that reads for this host, unless one has failed lately or nothing is known yet.
+func (w *Watch) reader() (string, bool) {
+	w.mu.Lock()
+	lean := w.seams.Now().Before(w.leanUntil) || !w.loaded
+	w.mu.Unlock()
+	if lean {
+		return "", false
+	}
+	return w.seams.Reader()
+}
+
+// followPeer takes in what a peer reads of the store. When the peer fails, this host reads for itself for a while.
+func (w *Watch) followPeer(ctx context.Context, address string) {
+	c, err := w.seams.Fetch(ctx, address, w.Revision())
+	if err == nil {
+		w.TakeCopy(c)
+		return
+	}
+	w.mu.Lock()
+	w.leanUntil = w.seams.Now().Add(leanTime)
+	w.mu.Unlock()
+	w.seams.Log.Info("reader lost, reading the store", "reader", address, "error", err.Error())
+}
+
 // follow reads everything if nothing is known, and then watches what changes.
 func (w *Watch) follow(ctx context.Context) error {
 	if w.needsRead() {
@@ -102,14 +145,24 @@
 		w.found()
 		w.replace(items, ident.Revision(revision))
 	}
-	return w.seams.Store.Watch(ctx, allKeys, int64(w.Revision()), func(events []store.Event, revision int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	relieved := false
+	err := w.seams.Store.Watch(ctx, allKeys, int64(w.Revision()), func(events []store.Event, revision int64) {
 		items := make([]Item, len(events))
 		for i, e := range events {
 			items[i] = eventOf(e)
 		}
 		w.found()
 		w.take(items, ident.Revision(revision))
+		if _, relieved = w.reader(); relieved {
+			cancel()
+		}
 	})
+	if relieved {
+		return errReader
+	}
+	return err
 }
 
 func (w *Watch) needsRead() bool {
@@ -141,6 +194,7 @@
 		return
 	}
 	w.storeLost = false
+	w.regained = w.seams.Now().Add(returnTime)
 	w.roster.StoreBack(w.seams.Now())
 	w.seams.Log.Info("store regained", "revision", int64(w.revision))
 }
@@ -210,17 +264,17 @@
 
 // apply takes in one key, and tells whether it changed anything that matters. The lock is held.
 func (w *Watch) apply(i Item) bool {
-	if known, ok := w.items[i.Key]; ok && i.Revision <= known.Revision {
+	known, ok := w.items[i.Key]
+	if ok && i.Revision <= known.Revision || !ok && i.Deleted {
 		return false
 	}
-	if i.Deleted {
-		if _, ok := w.items[i.Key]; !ok {
-			return false
-		}
-		delete(w.items, i.Key)
-	} else {
-		w.items[i.Key] = i
-	}
+	changed := w.decode(i)
+	w.hold(i, known, changed)
+	return changed
+}
+
+// decode takes in what a key says. The lock is held.
+func (w *Watch) decode(i Item) (changed bool) {
 	if own, err := w.takeOwn(i); own {
 		w.complain(i, err)
 		return true
