--- a/cmd/jayshift/main.go
+++ b/cmd/jayshift/main.go
@@ -23,6 +23,7 @@
 	Key    keyCommands   `cmd:"" help:"Grant and withdraw caller keys."`
 	Hosts  hostsCommand  `cmd:"" help:"List the hosts of the fleet."`
 	Config configCommand `cmd:"" help:"Check or print settings."`
+	Model  modelCommand  `cmd:"" help:"Play a load in virtual time, and compare ways to place requests."`
 	Report reportCommand `cmd:"" help:"Report on service levels."`
 	Load   loadCommand   `cmd:"" help:"Send a seeded open-loop load and report what became of it."`
 	Help   helpCommand   `cmd:"" help:"Show a help page."`
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -74,6 +74,8 @@
 type Settings struct {
 	Place   Place
 	Weights Weights
+	// Random returns a number from 0 up to n; it spreads choices of equal cost.
+	Random func(n int64) int64
 	// Warms tells whether this host is the one that sends requests to the server while it is cold.
 	Warms func(ident.BackendServer) bool
 }
@@ -98,6 +100,9 @@
 
 // New returns a board without servers.
 func New(s Settings) *Board {
+	if s.Random == nil {
+		s.Random = rand.Int64N
+	}
 	return &Board{settings: s, spill: newSpill(), shards: map[ident.Service]*shard{}}
 }
 
@@ -279,7 +284,7 @@
 	c.cost = c.wait + c.run + settings.Weights.way(settings.Place, v, q.Bytes)
 	c.cost += time.Duration(v.failing * float64(settings.Weights.Failure))
 	c.cost += time.Duration(v.busy() * float64(run-w.expected(true, q.Aim))) // what others wait longer
-	c.cost += time.Duration(rand.Int64N(int64(time.Millisecond)))            // spreads equal choices
+	c.cost += time.Duration(settings.Random(int64(time.Millisecond)))
 	return c
 }
 
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -132,7 +132,7 @@
 	}
 	var oldest ident.Object
 	for candidate, until := range s.objects {
-		if oldest == "" || until.Before(s.objects[oldest]) {
+		if oldest == "" || until.Before(s.objects[oldest]) || until.Equal(s.objects[oldest]) && candidate < oldest {
 			oldest = candidate
 		}
 	}
--- a/core/place/spill.go
+++ b/core/place/spill.go
@@ -73,13 +73,19 @@
 		f.credit--
 		return cheapest
 	}
+	forced := own
 	for region, f := range s.flows {
-		if f.credit >= spillForced && possible(region) {
-			f.credit--
-			return region
+		if f.credit < spillForced || !possible(region) {
+			continue
+		}
+		if forced == own || f.credit > s.flows[forced].credit || f.credit == s.flows[forced].credit && region < forced {
+			forced = region
 		}
 	}
-	return own
+	if forced != own {
+		s.flows[forced].credit--
+	}
+	return forced
 }
 
 // advance moves the levels towards where requests would go. The lock is held.
--- a/io/roll/roll.go
+++ b/io/roll/roll.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	tickPause = 250 * time.Millisecond
+	tickPause  = 250 * time.Millisecond
 	ratioScale = 100.0 // milliseconds that evidence states for an answer that took as long as expected
 )
 
--- /dev/null
+++ b/io/setup/scenario.go
@@ -0,0 +1,72 @@
+package setup
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"jayshift/core/model"
+)
+
+var (
+	errNumber = merry.Sentinel("must be a number above zero")
+	errCounts = merry.Sentinel("must be whole numbers, separated by commas")
+)
+
+type scenario = model.Scenario
+
+// scenarioTable lists every setting of a scenario for the model; the defaults are the heavy load.
+var scenarioTable = []setting[scenario]{
+	{"scenario", "name", "heavy", "", "Name in the tables.", text(func(s *scenario) *string { return &s.Name })},
+	{"scenario", "length", "30s", "time", "How long callers come.", duration(func(s *scenario) *time.Duration { return &s.Length })},
+	{"places", "regions", "3", "", "Regions, each with the same callers.", count(func(s *scenario) *int { return &s.Regions })},
+	{"places", "zones", "2", "", "Availability zones of a region.", count(func(s *scenario) *int { return &s.Zones })},
+	{"places", "hosts", "2", "", "Hosts in each zone.", count(func(s *scenario) *int { return &s.Hosts })},
+	{"places", "far-trip", "110ms", "time", "To another region and back.", duration(func(s *scenario) *time.Duration { return &s.FarTrip })},
+	{"servers", "in-zone", "1,4,4", "", "Backend servers in each zone, region by region.", counts(func(s *scenario) *[]int { return &s.Servers })},
+	{"servers", "slots", "6", "requests", "Requests that a server runs at once.", count(func(s *scenario) *int { return &s.Slots })},
+	{"servers", "queue", "18", "requests", "Requests that may wait at a server.", count(func(s *scenario) *int { return &s.Queue })},
+	{"servers", "remembers", "65", "objects", "Objects that a server runs faster.", count(func(s *scenario) *int { return &s.Remembers })},
+	{"servers", "cold", "360ms", "time", "A run on an object that the server does not remember.", duration(func(s *scenario) *time.Duration { return &s.Cold })},
+	{"servers", "warm", "108ms", "time", "A run on an object that it remembers.", duration(func(s *scenario) *time.Duration { return &s.Warm })},
+	{"servers", "spread", "0.15", "", "Spread of the time of runs, as a share of it.", number(func(s *scenario) *float64 { return &s.Spread })},
+	{"callers", "rate", "150", "1/s", "Requests a second in each region.", number(func(s *scenario) *float64 { return &s.Rate })},
+	{"callers", "objects", "93", "objects", "Objects that the callers of a region ask for.", count(func(s *scenario) *int { return &s.Objects })},
+	{"callers", "aim", "400ms", "time", "Latency target.", duration(func(s *scenario) *time.Duration { return &s.Aim })},
+	{"callers", "patience", "2s", "time", "How long callers wait.", duration(func(s *scenario) *time.Duration { return &s.Patience })},
+}
+
+// ReadScenario reads and checks a scenario for the model. The error wraps ErrInvalid and lists every fault.
+func ReadScenario(path string) (*model.Scenario, error) { return read(path, ParseScenario) }
+
+// ParseScenario checks a scenario in INI form.
+func ParseScenario(data []byte) (*model.Scenario, error) {
+	return parse(data, scenarioTable, func(*scenario, map[string]int) []fault { return nil })
+}
+
+func number[T any](field func(*T) *float64) func(*T, string) error {
+	return func(s *T, value string) error {
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || n <= 0 {
+			return errNumber
+		}
+		*field(s) = n
+		return nil
+	}
+}
+
+func counts[T any](field func(*T) *[]int) func(*T, string) error {
+	return func(s *T, value string) error {
+		*field(s) = nil
+		for _, part := range strings.Split(value, ",") {
+			n, err := strconv.Atoi(strings.TrimSpace(part))
+			if err != nil || n < 0 {
+				return errCounts
+			}
+			*field(s) = append(*field(s), n)
+		}
+		return nil
+	}
+}
