--- a/cmd/jayshift/edge.go
+++ b/cmd/jayshift/edge.go
@@ -3,7 +3,9 @@
 import (
 	"os"
 	"runtime/debug"
+	"time"
 
+	"jayshift/io/lines"
 	"jayshift/io/node"
 	"jayshift/io/serve"
 	"jayshift/io/setup"
@@ -11,6 +13,7 @@
 )
 
 const (
+	flushTime  = 200 * time.Millisecond // for the last log lines at the end
 	megabyte   = 1 << 20
 	memoryPart = 0.8 // of the memory that the process may use, at which the collector works harder
 )
@@ -30,12 +33,14 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryMB) * megabyte))
+	out := lines.New(os.Stdout)
+	defer out.Flush(flushTime)
 	n, err := node.New(settings, node.Platform{
 		Store: platform.NewStore(settings.Store, settings.StorePause), Dialect: platform.Dialect(),
 		Decode: platform.Decode, Encode: platform.EncodeVerdict, Directory: platform.Directory, Ready: platform.Ready,
 		RetryShare: bounds.RetryShare, RetrySlack: bounds.RetrySlack, QuotaSlack: bounds.QuotaSlack,
 		Grace: bounds.Grace, AnswerLife: bounds.AnswerLife,
-	}, serve.NewLog(os.Stdout, settings.Level))
+	}, serve.NewLog(out, settings.Level))
 	if err != nil {
 		return err
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -19,6 +19,7 @@
 	"jayshift/core/table"
 	"jayshift/io/conns"
 	"jayshift/io/httpd"
+	"jayshift/io/lines"
 )
 
 // Seams are what an edge needs from the rest of the process.
@@ -61,6 +62,8 @@
 type Edge struct {
 	seams    Seams
 	inFlight atomic.Int64
+	served   atomic.Int64
+	limit    *lines.Limit // of log lines
 	splits   splits
 
 	mu      sync.Mutex
@@ -71,7 +74,7 @@
 // New returns an edge.
 func New(seams Seams) *Edge {
 	return &Edge{
-		seams: seams, budgets: map[ident.Service]*retry.Budget{},
+		seams: seams, limit: lines.NewLimit(linesPerSecond), budgets: map[ident.Service]*retry.Budget{},
 		running: map[ident.Service]map[ident.Version]int{}, splits: newSplits(),
 	}
 }
--- a/io/node/life.go
+++ b/io/node/life.go
@@ -47,10 +47,12 @@
 	links.HandleFunc("GET "+peer.CopyPath, n.peers.ServeCopy)
 	n.callers = httpd.New(listeners["caller"], n.log)
 	n.callers.Handle, n.callers.Leaving, n.callers.Limits = n.edge.Serve, n.leaving.Load, n.limits
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", n.meter)
 	servers := []transport.Server{
 		n.callers, serve.New(listeners["directory"], n.platform.Directory(n.directory)),
 		serve.New(listeners["ready"], n.platform.Ready(n.ready)), serve.New(listeners["link"], links),
-		serve.New(listeners["metrics"], http.NotFoundHandler()),
+		serve.New(listeners["metrics"], metrics),
 	}
 	serve.SetFrameworkLog(n.log)
 	n.app = kratos.New(
--- /dev/null
+++ b/io/node/meter.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"time"
+
+	"jayshift/io/meter"
+)
+
+// newMeter returns the host's metrics, with gauges of its state that are read when metrics are collected.
+func (n *Node) newMeter() (*meter.Edge, error) {
+	m, err := meter.NewEdge()
+	if err != nil {
+		return nil, err
+	}
+	for _, g := range []struct {
+		name, help string
+		read       func() float64
+	}{
+		{"jayshift.edge.in.flight", "Requests that run.", func() float64 { return float64(n.edge.InFlight()) }},
+		{"jayshift.edge.connections", "Connections of callers.", func() float64 { return float64(n.callers.Connections()) }},
+		{"jayshift.edge.opened", "Connections opened to backend servers.", func() float64 { return float64(n.pool.Opened()) }},
+		{"jayshift.edge.configuration", "Version of the configuration in force.", n.configuration},
+		{"jayshift.edge.revision", "Store revision up to which all changes are known.", func() float64 { return float64(n.watch.Revision()) }},
+		{"jayshift.edge.store.lost", "1 while the store does not answer.", func() float64 { return truth(n.watch.StoreLost()) }},
+		{"jayshift.edge.servers", "Backend servers that may be used.", func() float64 { return float64(len(n.watch.Servers())) }},
+		{"jayshift.edge.peers", "Peers with a fresh heartbeat.", func() float64 { return float64(len(n.peers.Alive(time.Now()))) }},
+	} {
+		if err := m.Gauge(g.name, g.help, g.read); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func (n *Node) configuration() float64 {
+	if t := n.watch.Table(); t != nil {
+		return float64(t.Version)
+	}
+	return 0
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -20,6 +20,7 @@
 	"jayshift/io/edge"
 	"jayshift/io/httpd"
 	"jayshift/io/link"
+	"jayshift/io/meter"
 	"jayshift/io/peer"
 	"jayshift/io/roll"
 	"jayshift/io/setup"
@@ -74,6 +75,7 @@
 	rolls    *roll.Rolls
 	pool     *conns.Pool
 	edge     *edge.Edge
+	meter    *meter.Edge
 }
 
 // New builds a node from its settings; nothing runs yet, but the listen addresses are taken.
@@ -84,6 +86,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.meter, err = n.newMeter(); err != nil {
+		return nil, err
+	}
 	n.build()
 	n.serve(listeners)
 	return n, nil
@@ -129,7 +134,7 @@
 		Dialect: n.platform.Dialect, Log: n.log, Table: n.watch.Table, Board: n.board, Pool: n.pool, Quota: n.quota,
 		Poison: n.poison, BudgetShare: n.platform.RetryShare, BudgetSlack: n.platform.RetrySlack, Hosts: n.hosts,
 		Version: n.rolls.Version, Judge: n.judge, Strike: n.strike, Gone: n.watch.Gone, Leaving: n.leaving.Load,
-		Count: func(edge.Sample) {},
+		Count: n.meter.Count,
 	})
 }
 
