--- a/io/edge/log.go
+++ b/io/edge/log.go
@@ -21,8 +21,11 @@
 		return
 	}
 	route, version := "", int64(0)
+	if q.table != nil {
+		version = int64(q.table.Version)
+	}
 	if q.route != nil {
-		route, version = string(q.route.Name), int64(q.table.Version)
+		route = string(q.route.Name)
 	}
 	attributes := []any{
 		"id", q.id(), "outcome", string(r.outcome), "status", r.status, "route", route, "team", string(q.team),
--- /dev/null
+++ b/io/trace/trace.go
@@ -0,0 +1,161 @@
+// Package trace reads the log lines of several hosts and tells what became of one request, or what changed in a time span.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-logfmt/logfmt"
+)
+
+const mostLine = 1 << 20 // bytes
+
+// Line is one log line.
+type Line struct {
+	Time   time.Time
+	File   string
+	Fields map[string]string
+	Text   string
+}
+
+// changes are the messages that say what a process believes anew.
+var changes = []string{
+	"configuration in force", "host started", "host stopping", "host stopped", "host stated in the store", "lease lapsed",
+	"store lost", "store regained", "store dropped its history, reading all", "reader lost, reading the store",
+	"took a peer's copy of the store", "value in the store left out", "availability zone evacuated", "evacuation over",
+	"move ordered", "move stated", "move ended", "backend version tripped", "told to reload; settings take effect at the next start",
+	"log lines dropped",
+}
+
+// causes says in a sentence what each outcome means.
+var causes = map[string]string{
+	"answered":         "A backend server answered it.",
+	"server-failed":    "The backend server ran it and answered with a failure of its own.",
+	"no-configuration": "The host had just started and knew no configuration yet; the request was not run.",
+	"no-route":         "The configuration in force has no route for its host name and path.",
+	"key-refused":      "The configuration in force has no such key.",
+	"team-rate":        "The team was beyond its rate over all hosts; the request was not run.",
+	"poison-request":   "Requests like it have taken down several backend servers; it was not run.",
+	"body-too-large":   "Its body is larger than the configuration allows.",
+	"body-broken":      "The caller broke off while it sent the body.",
+	"misdirected":      "Other processes answered at the addresses of the servers that were tried; it was not run.",
+	"shed":             "The servers that were tried refused it for lack of room; it was not run.",
+	"unreachable":      "No connection to the servers that were tried came about; it was not run.",
+	"caller-left":      "The caller left before there was an answer.",
+	"silent":           "The server that got it did not answer in time; it may have run.",
+	"broken":           "The connection to the server that got it broke before the answer was whole; it may have run.",
+	"foreign-answer":   "What came was not the server's own answer, so it was not passed on; the request may have run.",
+	"no-server":        "No backend server may run it: none of its service, version or home regions is there.",
+	"cold":             "The servers that could run it are cold and get no more requests now; it was not run.",
+	"late":             "No server could have answered before its deadline; it was refused at once and not run.",
+	"full":             "All servers that could run it in time were full; it was refused at once and not run.",
+}
+
+// Read reads the lines of one host; lines that cannot be read are left out.
+func Read(file string, r io.Reader) ([]Line, error) {
+	var list []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, mostLine)
+	for scanner.Scan() {
+		if line, ok := parse(scanner.Bytes()); ok {
+			line.File = file
+			list = append(list, line)
+		}
+	}
+	return list, merry.Wrap(scanner.Err())
+}
+
+func parse(text []byte) (Line, bool) {
+	line := Line{Fields: map[string]string{}, Text: string(text)}
+	// Collectors put words of their own before a line.
+	if start := bytes.Index(text, []byte("time=")); start > 0 {
+		text = text[start:]
+	}
+	d := logfmt.NewDecoder(bytes.NewReader(text))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			line.Fields[string(d.Key())] = string(d.Value())
+		}
+	}
+	at, err := time.Parse(time.RFC3339Nano, line.Fields["time"])
+	line.Time = at
+	return line, err == nil && d.Err() == nil
+}
+
+// Request returns the lines about one request in the order of time.
+func Request(lines []Line, id string) []Line {
+	return pick(lines, func(l Line) bool { return l.Fields["id"] == id })
+}
+
+// Changes returns the lines on what processes believed anew in a time span.
+func Changes(lines []Line, since, until time.Time) []Line {
+	return pick(lines, func(l Line) bool {
+		if l.Time.Before(since) || l.Time.After(until) {
+			return false
+		}
+		for _, message := range changes {
+			if l.Fields["msg"] == message {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func pick(lines []Line, wanted func(Line) bool) []Line {
+	var list []Line
+	for _, l := range lines {
+		if wanted(l) {
+			list = append(list, l)
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Time.Before(list[j].Time) })
+	return list
+}
+
+// around is the time before and after a request in which changes may explain it.
+const around = 3 * time.Second
+
+// Explain writes what became of a request: its lines, the changes around them, and the cause.
+func Explain(w io.Writer, lines []Line, id string) {
+	own := Request(lines, id)
+	if len(own) == 0 {
+		_, _ = fmt.Fprintf(w, "No line names %s: it was served and not sampled, its kind of line was bounded in that second, or no host read it.\n", id)
+		return
+	}
+	for _, l := range own {
+		Print(w, l)
+	}
+	last := own[len(own)-1]
+	_, _ = fmt.Fprintf(w, "\nChanges within %s before:\n", around)
+	for _, l := range Changes(lines, own[0].Time.Add(-around), last.Time) {
+		Print(w, l)
+	}
+	cause, ok := causes[last.Fields["outcome"]]
+	if !ok {
+		cause = "The outcome " + last.Fields["outcome"] + " is not known to this version."
+	}
+	_, _ = fmt.Fprintf(w, "\nCause: %s %s\n", cause, detail(last))
+}
+
+// detail names the inputs of the decision.
+func detail(l Line) string {
+	var parts []string
+	for _, name := range []string{"route", "team", "service", "version", "servers", "sent", "unsent", "took", "left", "retry-after", "configuration"} {
+		if value := l.Fields[name]; value != "" && value != "[]" {
+			parts = append(parts, name+" "+value)
+		}
+	}
+	return "(" + strings.Join(parts, ", ") + ")"
+}
+
+// Print writes one line with the host that wrote it.
+func Print(w io.Writer, l Line) {
+	_, _ = fmt.Fprintf(w, "%s: %s\n", l.File, l.Text)
+}
