--- a/core/place/weights.go
+++ b/core/place/weights.go
@@ -18,7 +18,7 @@
 func DefaultWeights() Weights {
 	return Weights{
 		Zone: 10 * time.Millisecond, Region: 20 * time.Millisecond,
-		ZoneByte: 2 * time.Millisecond, RegionByte: 3 * time.Millisecond,
+		ZoneByte: 10 * time.Millisecond, RegionByte: 12 * time.Millisecond,
 		Failure: 400 * time.Millisecond, Queue: 2, Stray: 0.5,
 	}
 }
