--- a/cmd/jayshift/entry.go
+++ b/cmd/jayshift/entry.go
@@ -48,32 +48,53 @@
 
 type checkCommand struct {
 	File string `arg:"" help:"Settings file."`
+	Edge bool   `help:"The file is an edge host's."`
 }
 
 // Run checks the file.
 func (c *checkCommand) Run() error {
-	if _, err := setup.Read(c.File); err != nil {
+	if err := c.check(); err != nil {
 		return err
 	}
 	fmt.Println("settings are valid")
 	return nil
 }
 
+func (c *checkCommand) check() error {
+	if c.Edge {
+		_, err := setup.ReadEdge(c.File)
+		return err
+	}
+	_, err := setup.Read(c.File)
+	return err
+}
+
 type printCommand struct {
 	File string `arg:"" help:"Settings file."`
+	Edge bool   `help:"The file is an edge host's."`
 }
 
 // Run prints every setting with its value.
 func (c *printCommand) Run() error {
-	text, err := setup.Print(c.File)
+	read := setup.Print
+	if c.Edge {
+		read = setup.PrintEdge
+	}
+	text, err := read(c.File)
 	fmt.Print(text)
 	return err
 }
 
-type tableCommand struct{}
+type tableCommand struct {
+	Edge bool `help:"The settings of an edge host."`
+}
 
 // Run prints the settings table.
 func (c *tableCommand) Run() error {
+	if c.Edge {
+		fmt.Print(setup.EdgeTable())
+		return nil
+	}
 	fmt.Print(setup.Table())
 	return nil
 }
--- a/core/place/spill.go
+++ b/core/place/spill.go
@@ -9,11 +9,12 @@
 )
 
 const (
-	spillSlope  = 0.06            // of the requests, that may change their region in each second
+	spillSlope  = 0.05            // of the requests, that may change their region in each second
 	spillMemory = 1 * time.Second // time constant of where requests would go at the least cost
-	mostCredit  = 2.0             // requests
+	mostCredit  = 1.0             // requests
 	leastCredit = -1.0
-	spillForced = 1.5 // credit at which a request goes to a region although it is not the cheapest
+	spillDue    = 0.5 // credit from which a request may go where it costs least
+	spillForced = 0.9 // credit at which a request goes to a region although it is not the cheapest
 	// spillPrior is the part of what a region's servers could not carry, if all regions had as many callers, that runs
 	// elsewhere at the start, before it is known how many callers there are.
 	spillPrior = 0.6
@@ -64,30 +65,50 @@
 func newSpill() *spill { return &spill{flows: map[ident.Region]*flow{}} }
 
 // choose returns the region where a request runs, given the one where it costs least; own is the host's own region,
-// and possible tells whether a region has a server that can take the request.
+// and possible tells whether a region has a server that can take the request. A request that is refused, since it may
+// not run where it could, counts for nothing: shares are of the requests that run.
 func (s *spill) choose(now time.Time, own, cheapest ident.Region, possible func(ident.Region) bool) ident.Region {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now, own, cheapest)
-	if f := s.flows[cheapest]; f != nil && f.credit > 0 {
-		f.credit--
-		return cheapest
+	chosen := own
+	if f := s.flows[cheapest]; f != nil && f.credit+f.level >= spillDue {
+		chosen = cheapest
+	} else if forced := s.forced(possible); forced != "" {
+		chosen = forced
 	}
-	forced := own
+	if possible(chosen) {
+		s.ran(chosen)
+	}
+	return chosen
+}
+
+// forced returns the region where most requests are due to run although it is not the cheapest, empty for none. The lock
+// is held.
+func (s *spill) forced(possible func(ident.Region) bool) ident.Region {
+	var forced ident.Region
 	for region, f := range s.flows {
 		if f.credit < spillForced || !possible(region) {
 			continue
 		}
-		if forced == own || f.credit > s.flows[forced].credit || f.credit == s.flows[forced].credit && region < forced {
+		if forced == "" || f.credit > s.flows[forced].credit || f.credit == s.flows[forced].credit && region < forced {
 			forced = region
 		}
 	}
-	if forced != own {
-		s.flows[forced].credit--
-	}
 	return forced
 }
 
+// ran counts a request that runs in the region. The lock is held.
+func (s *spill) ran(chosen ident.Region) {
+	for region, f := range s.flows {
+		f.credit += f.level
+		if region == chosen {
+			f.credit--
+		}
+		f.credit = min(max(f.credit, leastCredit), mostCredit)
+	}
+}
+
 // advance moves the levels towards where requests would go. The lock is held.
 func (s *spill) advance(now time.Time, own, cheapest ident.Region) {
 	if cheapest != own && s.flows[cheapest] == nil {
@@ -107,6 +128,5 @@
 		}
 		f.desire += news * (wish - f.desire)
 		f.level += min(max(f.desire-f.level, -step), step)
-		f.credit = min(max(f.credit+f.level, leastCredit), mostCredit)
 	}
 }
