--- a/core/trial/plan.go
+++ b/core/trial/plan.go
@@ -9,8 +9,12 @@
 	mostDwell    = 60 * time.Second
 	// endMargin is kept before the time limit, for the last step to be stated and followed.
 	endMargin = 2 * time.Second
-	// stepDelay is how long a step may take to be stated and to be seen on a busy fleet.
-	stepDelay = 1250 * time.Millisecond
+	// stepDelay is how long a step takes to be stated and to be seen, slowStep how long on a busy fleet.
+	stepDelay = 500 * time.Millisecond
+	slowStep  = 1250 * time.Millisecond
+	// skipFrom is the share from which a step is left out when time is short: with less, a bad version may not have
+	// shown itself.
+	skipFrom = 0.1
 )
 
 // steps are the shares after the first one.
@@ -32,13 +36,21 @@
 	if now.Before(at.Since.Add(dwell)) {
 		return at.Share, false
 	}
-	latest := by.Add(-time.Duration(len(left)+1) * (leastDwell + stepDelay))
+	needed := len(left) + 1
+	if at.Share < skipFrom && len(left) > 2 {
+		needed-- // one step may be left out later
+	}
+	latest := by.Add(-time.Duration(needed) * (leastDwell + stepDelay))
 	if !judged && now.Before(latest) {
 		return at.Share, false
 	}
 	if len(left) == 0 {
 		return at.Share, true
 	}
+	short := by.Sub(now) < time.Duration(len(left)+1)*(leastDwell+slowStep)
+	if short && at.Share >= skipFrom && len(left) > 1 {
+		return left[1], false
+	}
 	return left[0], false
 }
 
