--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -134,9 +134,6 @@
 	// Sum of latencies, in milliseconds.
 	LatencyMs float64 `json:"latency-ms" cbor:"latency-ms"`
 
-	// Sum of squared latencies.
-	LatencySquares float64 `json:"latency-squares" cbor:"latency-squares"`
-
 	// Requests ended.
 	Requests int `json:"requests" cbor:"requests"`
 
--- a/io/moves/moves.go
+++ b/io/moves/moves.go
@@ -110,13 +110,15 @@
 		m.seams.Evidence.Forget(service, version)
 	}
 	if verdict.State == Pending {
-		m.judge(now, s, attempt, service, version)
+		m.judge(now, attempt, service, version)
 	}
 	if verdict.State == Reverted || m.tripped(attempt, service) {
 		m.seams.Gate.Close(service)
 		return
 	}
-	m.seams.Gate.Set(service, version, verdict.Shares[string(service)])
+	share := verdict.Shares[string(service)]
+	m.stepOf(now, attempt, string(service), share)
+	m.seams.Gate.Set(service, version, share)
 }
 
 // newTry tells whether the service is seen under this attempt for the first time.
@@ -138,7 +140,7 @@
 }
 
 // judge trips the move at once when the evidence is against the new version, and tells the peers.
-func (m *Moves) judge(now time.Time, s *config.Snapshot, attempt string, service ident.Service, version ident.Version) {
+func (m *Moves) judge(now time.Time, attempt string, service ident.Service, version ident.Version) {
 	m.mu.Lock()
 	trip, known := m.trips[tripKey(attempt, service)]
 	m.mu.Unlock()
@@ -146,13 +148,7 @@
 		m.seams.Broadcast(wire.Frame{Trip: &trip})
 		return
 	}
-	from, ok := s.Service(service)
-	if !ok {
-		return
-	}
-	before := m.seams.Evidence.Routes(now, service, ident.Version(from.Version))
-	after := m.seams.Evidence.Routes(now, service, version)
-	reason := trial.Judge(before, after)
+	reason := trial.Judge(m.evidence(now, service, version))
 	if reason == "" {
 		return
 	}
@@ -161,6 +157,14 @@
 	m.seams.Broadcast(wire.Frame{Trip: &trip})
 }
 
+// evidence returns the outcomes of the version that the service is on, and of the one that it moves to.
+func (m *Moves) evidence(now time.Time, service ident.Service, to ident.Version) (before, after map[string]trial.Series) {
+	if from, ok := m.seams.Snapshot().Service(service); ok {
+		before = m.seams.Evidence.Routes(now, service, ident.Version(from.Version))
+	}
+	return before, m.seams.Evidence.Routes(now, service, to)
+}
+
 // Trip takes in a verdict against a version, from here or from a peer. It holds from the next request on.
 func (m *Moves) Trip(t wire.Trip) {
 	m.mu.Lock()
@@ -245,7 +249,7 @@
 	changed, done := false, true
 	for service, version := range shift.Versions {
 		at := m.stepOf(now, attempt, service, old.Shares[service])
-		judged := trial.Judged(m.seams.Evidence.Routes(now, ident.Service(service), ident.Version(version)))
+		judged := trial.Judged(m.evidence(now, ident.Service(service), ident.Version(version)))
 		share, ended := trial.Next(now, at, by, judged)
 		next.Shares[service] = share
 		changed = changed || share != old.Shares[service]
--- a/io/roll/roll.go
+++ b/io/roll/roll.go
@@ -229,12 +229,10 @@
 // judge trips the move when the evidence is against the version, and tells the peers.
 func (r *Rolls) judge(now time.Time, m *move) {
 	r.mu.Lock()
-	reason, base := m.tripped, r.bases[m.order.Service]
+	reason := m.tripped
 	r.mu.Unlock()
 	if reason == "" {
-		before := r.seams.Evidence.Routes(now, m.order.Service, base)
-		after := r.seams.Evidence.Routes(now, m.order.Service, m.order.To)
-		if reason = trial.Judge(before, after); reason == "" {
+		if reason = trial.Judge(r.evidence(now, m)); reason == "" {
 			return
 		}
 	}
@@ -243,6 +241,15 @@
 	r.seams.Broadcast(wire.Frame{Trip: &t})
 }
 
+// evidence returns the outcomes of the version that the service is on, and of the one that it moves to.
+func (r *Rolls) evidence(now time.Time, m *move) (before, after map[string]trial.Series) {
+	r.mu.Lock()
+	base := r.bases[m.order.Service]
+	r.mu.Unlock()
+	before = r.seams.Evidence.Routes(now, m.order.Service, base)
+	return before, r.seams.Evidence.Routes(now, m.order.Service, m.order.To)
+}
+
 func attempt(o watch.Order) string { return string(o.To) + " " + time.Duration(o.Revision).String() }
 
 // Trip takes in a verdict against a version, from here or from a peer. It holds from the next request on.
