--- a/io/moves/moves.go
+++ b/io/moves/moves.go
@@ -93,13 +93,13 @@
 	s := m.seams.Snapshot()
 	for _, shift := range s.Shifts() {
 		for service, version := range shift.Versions {
-			m.follow(now, s, shift, ident.Service(service), ident.Version(version))
+			m.follow(now, shift, ident.Service(service), ident.Version(version))
 		}
 	}
 }
 
 // follow sets the gate of one service to the stated share, closed while nothing is stated or a fault has shown.
-func (m *Moves) follow(now time.Time, s *config.Snapshot, shift config.Shift, service ident.Service, version ident.Version) {
+func (m *Moves) follow(now time.Time, shift config.Shift, service ident.Service, version ident.Version) {
 	attempt := Attempt(shift)
 	verdict, ok := m.seams.Verdict(string(shift.Name))
 	if !ok || verdict.Attempt != attempt {
