Keep renewing a seat after the table moved on, and after answers got lost

When another host changed the table in between, all renewals failed by their condition, and the seat was lost after 3 s. The same came from a lost answer whose settling read failed too: the next try took a new name, so the first one's write was no longer known as this host's own. Now: the revision of the step that took the seat, and names that begin alike in one incarnation; a mark has another name.

--- a/io/member/controller.go
+++ b/io/member/controller.go
@@ -56,7 +56,7 @@
 		if !changed {
 			return nil
 		}
-		err := m.writeTable(ctx, next, revision, m.renewalWrites(t, next)...)
+		_, err := m.writeTable(ctx, next, revision, m.renewalWrites(t, next)...)
 		if errors.Is(err, store.ErrConflict) {
 			return nil
 		}
--- a/io/member/join.go
+++ b/io/member/join.go
@@ -63,18 +63,16 @@
 	m.round++
 	renewal := m.renewalRecord()
 	renewal.Generation = t.Generation
-	m.ownWrite = renewal.WriteId
 	m.mu.Unlock()
 	value, err := json.Marshal(renewal)
 	if err != nil {
 		return merry.Wrap(err)
 	}
-	if err := m.writeTable(ctx, t, revision, store.Write{Key: feed.RenewalKey(renewal.Host), Value: value}); err != nil {
+	at, err := m.writeTable(ctx, t, revision, store.Write{Key: feed.RenewalKey(renewal.Host), Value: value})
+	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.ownRevision = m.tableRevision
+	m.setOwn(at)
 	return nil
 }
 
@@ -93,7 +91,7 @@
 		if err != nil {
 			return nil
 		}
-		err = m.writeTable(ctx, next, revision, store.Write{Key: feed.RenewalKey(m.hello.Host), Delete: true})
+		_, err = m.writeTable(ctx, next, revision, store.Write{Key: feed.RenewalKey(m.hello.Host), Delete: true})
 		if err == nil || !errors.Is(err, store.ErrConflict) {
 			return err
 		}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -55,8 +55,8 @@
 	mu            sync.Mutex
 	table         wire.SeatTable
 	tableRevision int64
-	ownRevision   int64 // store revision of this host's last renewal
-	ownWrite      string
+	ownRevision   int64  // store revision of this host's last renewal
+	ownWrites     string // how the names of this incarnation's renewals begin
 	joined        bool
 	left          bool
 	lag           int
@@ -97,6 +97,7 @@
 // setIncarnation starts over with nothing proved. The caller holds the lock or is the constructor.
 func (m *Member) setIncarnation(n int) {
 	m.hello.Incarnation = n
+	m.ownWrites = store.NewWriteID() + " "
 	m.joined = false
 	m.lease.Store(seat.NewLease(m.self(), ident.Incarnation(n), m.terms))
 }
--- a/io/member/renew.go
+++ b/io/member/renew.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,7 +22,6 @@
 	renewal := m.renewalRecord()
 	compares := []store.Compare{{Key: feed.RenewalKey(renewal.Host), Revision: m.ownRevision}}
 	lease := m.lease.Load()
-	m.ownWrite = renewal.WriteId
 	m.mu.Unlock()
 	value, err := json.Marshal(renewal)
 	if err != nil {
@@ -44,7 +45,7 @@
 func (m *Member) renewalRecord() wire.Renewal {
 	return wire.Renewal{
 		Host: m.hello.Host, Incarnation: m.hello.Incarnation, Generation: m.table.Generation, Round: m.round,
-		Revision: int(m.seams.Revision()), WriteId: store.NewWriteID(),
+		Revision: int(m.seams.Revision()), WriteId: m.ownWrites + strconv.Itoa(m.round),
 	}
 }
 
@@ -54,8 +55,8 @@
 	m.ownRevision = revision
 }
 
-// settleRenewal reads the host's own key after a renewal that failed or whose answer was lost. A write of this host's
-// own is where the next renewal goes on; anything else means that the seat was marked or taken.
+// settleRenewal reads the host's own key after a renewal that failed or whose answer was lost. Any write of this host's
+// own, also one before the last, is where the next renewal goes on; anything else means that the seat was marked or taken.
 func (m *Member) settleRenewal(ctx context.Context, failed error) error {
 	_, found, err := m.seams.Store.Txn(ctx, nil, nil, []string{feed.RenewalKey(m.hello.Host), feed.TableKey})
 	if err != nil {
@@ -66,7 +67,7 @@
 		var r wire.Renewal
 		if string(kv.Key) == feed.RenewalKey(m.hello.Host) && json.Unmarshal(kv.Value, &r) == nil {
 			m.mu.Lock()
-			if r.WriteId == m.ownWrite {
+			if strings.HasPrefix(r.WriteId, m.ownWrites) {
 				m.ownRevision = kv.ModRevision
 			}
 			m.mu.Unlock()
--- a/io/member/table.go
+++ b/io/member/table.go
@@ -89,31 +89,34 @@
 	}
 }
 
-// writeTable replaces the table that stands at the revision, with other keys in the same step. When the answer is lost, a read settles whether it landed.
-func (m *Member) writeTable(ctx context.Context, t wire.SeatTable, revision int64, others ...store.Write) error {
+// writeTable replaces the table that stands at the revision, with other keys in the same step, and returns the revision
+// of that step. When the answer is lost, a read settles whether it landed.
+func (m *Member) writeTable(ctx context.Context, t wire.SeatTable, revision int64, others ...store.Write) (int64, error) {
 	t.WriteId = store.NewWriteID()
 	value, err := json.Marshal(t)
 	if err != nil {
-		return merry.Wrap(err)
+		return 0, merry.Wrap(err)
 	}
 	compares := []store.Compare{{Key: feed.TableKey, Revision: revision}}
 	writes := append([]store.Write{{Key: feed.TableKey, Value: value}}, others...)
 	at, found, err := m.seams.Store.Txn(ctx, compares, writes, []string{feed.TableKey})
 	if err == nil {
 		m.SetTable(t, ident.Revision(at))
-		return nil
+		return at, nil
 	}
 	m.adopt(found)
 	if !errors.Is(err, store.ErrUnavailable) {
-		return err
+		return 0, err
 	}
 	if readErr := m.readTable(ctx); readErr != nil {
-		return err
+		return 0, err
 	}
-	if m.Table().WriteId == t.WriteId {
-		return nil
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.table.WriteId == t.WriteId {
+		return m.tableRevision, nil
 	}
-	return err
+	return 0, err
 }
 
 // release hands over the partitions that are no longer needed here.
@@ -125,7 +128,7 @@
 	m.mu.Lock()
 	t, revision := m.table, m.tableRevision
 	m.mu.Unlock()
-	err := m.writeTable(ctx, seat.Release(t, m.self(), partitions), revision)
+	_, err := m.writeTable(ctx, seat.Release(t, m.self(), partitions), revision)
 	if errors.Is(err, store.ErrConflict) {
 		return nil
 	}
