Let a request wait for a token also in another region, when its own holds too few

Cause: near the rate, a request in a region with little demand found the shares elsewhere empty at that moment and then waited at home alone, where the next token may be 160 ms off and others had been promised it (traced: 12 of 18 refusals within the rate in such regions). A promise was also denied when more were promised than the bucket holds, although tokens come in the order of the promises. The tests now hold three seeds each, the sum of them to the aim.

--- a/core/share/rate.go
+++ b/core/share/rate.go
@@ -132,7 +132,7 @@
 func (r *Rate) Promise(now time.Time, n int64, patience time.Duration) (time.Duration, bool) {
 	r.settle(now)
 	wait := r.Wait(now, n+r.promised)
-	if wait > patience || n+r.promised > r.burst() || !r.Keeps(now) {
+	if wait > patience || n > r.burst() || !r.Keeps(now) {
 		return 0, false
 	}
 	r.promised += n
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -143,14 +143,27 @@
 	return l.last(ctx, q, n)
 }
 
-// last waits once more where the region's shares are, after no peer had anything.
+// last waits once more, after no peer had anything: where the region's shares are, then where those of other regions
+// are, since a region with little demand holds a share whose next token may be far off.
 func (l *Loans) last(ctx context.Context, q ident.Quantity, n int64) bool {
 	near := gatherer(q, l.seams.Near())
-	if near == l.seams.Self {
-		return l.await(ctx, q, n, longestWait)
+	if near == l.seams.Self && l.await(ctx, q, n, longestWait) {
+		return true
 	}
-	taken, _ := l.spot(ctx, q, near, n, longestWait, true)
-	return taken
+	hosts := []ident.Host{near}
+	for _, region := range l.seams.Far() {
+		hosts = append(hosts, gatherer(q, region))
+	}
+	for _, host := range hosts {
+		if host == l.seams.Self {
+			continue
+		}
+		taken, beyond := l.spot(ctx, q, host, n, longestWait, true)
+		if taken || beyond || ctx.Err() != nil {
+			return taken
+		}
+	}
+	return false
 }
 
 // Exhausted returns after which time to come back when the fleet was just found to have nothing left, else zero.
--- a/io/loans/loans_test.go
+++ b/io/loans/loans_test.go
@@ -193,6 +193,8 @@
 	teamRate  = 100.0
 	teamBurst = 20.0
 	runTime   = 30 * time.Second
+	firstSeed = 7
+	seeds     = 3
 )
 
 func limitsOf() []share.Limit {
@@ -207,7 +209,7 @@
 }
 
 // play runs a scenario in virtual time and returns the score of each team once steady.
-func play(t *testing.T, s scenario, static bool) []score {
+func play(t *testing.T, s scenario, static bool, seed uint64) []score {
 	scores := make([]score, teamCount)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -225,7 +227,7 @@
 		}
 		var wait sync.WaitGroup
 		for team := range teamCount {
-			wait.Go(func() { n.drive(ctx, team, s, &scores[team]) })
+			wait.Go(func() { n.drive(ctx, team, s, seed, &scores[team]) })
 		}
 		wait.Wait()
 		cancel()
@@ -234,9 +236,9 @@
 	return scores
 }
 
-func (n *network) drive(ctx context.Context, team int, s scenario, out *score) {
+func (n *network) drive(ctx context.Context, team int, s scenario, seed uint64, out *score) {
 	q := share.Team(ident.Team(fmt.Sprintf("t%d", team)))
-	random := rand.New(rand.NewPCG(7, uint64(team)))
+	random := rand.New(rand.NewPCG(seed, uint64(team)))
 	judge := &central{rate: teamRate, burst: teamBurst, tokens: teamBurst, at: time.Now()}
 	exact := &central{rate: teamRate, burst: 1e9, tokens: teamBurst, at: time.Now()}
 	start := time.Now()
@@ -326,15 +328,24 @@
 	return worst
 }
 
+// meet holds the load of the first seed to the aim, that of all seeds together too, and every one to the limit.
 func meet(t *testing.T, s scenario) {
 	t.Helper()
+	t.Parallel()
 	is := is.New(t)
-	scores := play(t, s, false)
-	report(t, s, false, scores)
-	for _, c := range scores {
-		is.True(c.over <= 0) // never beyond rate times window plus burst
+	from := s.killAt + steadyAfter
+	wrong := 0.0
+	for seed := range uint64(seeds) {
+		scores := play(t, s, false, firstSeed+seed)
+		report(t, s, false, scores)
+		for _, c := range scores {
+			is.True(c.over <= 0) // never beyond rate times window plus burst
+		}
+		refused := refusedWithin(s, scores, from)
+		is.True(seed > 0 || refused <= aim)
+		wrong += refused
 	}
-	is.True(refusedWithin(s, scores, s.killAt+steadyAfter) <= aim)
+	is.True(wrong/seeds <= aim)
 }
 
 func TestAimEven(t *testing.T)     { meet(t, scenarios[0]) }
@@ -348,7 +359,7 @@
 		t.Skip("JAYSHIFT_MEASURE is not set")
 	}
 	for _, s := range scenarios {
-		report(t, s, true, play(t, s, true))
+		report(t, s, true, play(t, s, true, firstSeed))
 	}
 }
 
