--- a/core/quota/part.go
+++ b/core/quota/part.go
@@ -146,3 +146,14 @@
 	}
 	return a.agreed / sum
 }
+
+// Part returns the mean part of the teams' rates that this host may use, from 0 to 1.
+func (b *Book) Part() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0.0
+	for _, a := range b.teams {
+		sum += a.part
+	}
+	return sum / max(1, float64(len(b.teams)))
+}
--- a/io/meter/edge.go
+++ b/io/meter/edge.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"jayshift/io/edge"
+	"jayshift/io/store"
 )
 
 // Edge counts what an edge host does.
@@ -15,6 +16,7 @@
 	*Meter
 	requests metric.Int64Counter
 	attempts metric.Int64Counter
+	calls    metric.Int64Counter
 	latency  metric.Float64Histogram
 }
 
@@ -31,6 +33,9 @@
 	if e.attempts, err = m.meter.Int64Counter("jayshift.edge.attempts", metric.WithDescription("Tries at backend servers.")); err != nil {
 		return nil, merry.Wrap(err)
 	}
+	if e.calls, err = m.meter.Int64Counter("jayshift.edge.store.calls", metric.WithDescription("Calls of the store by call and result.")); err != nil {
+		return nil, merry.Wrap(err)
+	}
 	e.latency, err = m.meter.Float64Histogram("jayshift.edge.latency", metric.WithUnit("s"),
 		metric.WithDescription("Time from a request to its answer, by outcome."), metric.WithExplicitBucketBoundaries(latencyBounds...))
 	return e, merry.Wrap(err)
@@ -44,3 +49,8 @@
 	e.attempts.Add(ctx, int64(s.Attempts))
 	e.latency.Record(ctx, s.Took.Seconds(), outcome)
 }
+
+// CountCall takes in the end of one call of the store.
+func (e *Edge) CountCall(call string, result store.Result) {
+	e.calls.Add(context.Background(), 1, metric.WithAttributes(attribute.String("call", call), attribute.String("result", string(result))))
+}
--- a/io/watch/view.go
+++ b/io/watch/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"jayshift/core/ident"
 	"jayshift/core/roster"
@@ -90,3 +91,13 @@
 	defer w.mu.Unlock()
 	return w.loaded && w.table != nil
 }
+
+// Age returns how long ago what is known of the store was last complete, zero before anything is known.
+func (w *Watch) Age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fresh.IsZero() {
+		return 0
+	}
+	return w.seams.Now().Sub(w.fresh)
+}
