Say that an entry serves only when limits can be spent there

A host that has just taken a seat holds no part of the limits, and its first dial may fail; the next comes 500 ms later. Until then it refuses what is within the rate, while /healthz answers 200. Now /healthz also wants parts, a link, or no other host. What stays: while a fleet forms, parts change hands, and slots of a part wait for the longest request of its last holder; such a refusal is true (not run, come back in 1 s).

--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -91,12 +91,13 @@
 	_, _, draining := h.Entry.Load()
 	state := struct {
 		Serving  bool `json:"serving"`
+		Supplied bool `json:"supplied"`
 		Loaded   bool `json:"loaded"`
 		Draining bool `json:"draining"`
 		Revision int  `json:"revision"`
-	}{h.Member.Lease().Serving(time.Now()), h.Feed.Loaded(), draining, int(h.Feed.Snapshot().Revision)}
+	}{h.Member.Lease().Serving(time.Now()), h.Member.Supplied(), h.Feed.Loaded(), draining, int(h.Feed.Snapshot().Revision)}
 	w.Header().Set("Content-Type", "application/json")
-	if !state.Serving || !state.Loaded {
+	if !state.Serving || !state.Supplied || !state.Loaded {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 	_ = json.NewEncoder(w).Encode(state)
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -132,6 +133,16 @@
 	return out
 }
 
+// Supplied tells whether limits can be spent here: this host holds parts of them, or is linked to a host that does, or
+// is alone.
+func (m *Member) Supplied() bool {
+	t := m.Table()
+	if len(t.Seats) <= 1 || len(m.seams.Mesh.Linked()) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(t.Partitions, func(p wire.Partition) bool { return p.Owner == string(m.self()) })
+}
+
 // Run joins and renews until the context ends.
 func (m *Member) Run(ctx context.Context) {
 	m.relink()
