--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 TOOL = go tool -modfile=tools/go.mod
 
-.PHONY: build test check format lint generate generate-check demo bench fuzz
+.PHONY: build test check format lint generate generate-check demo bench fuzz soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -36,3 +36,7 @@
 
 fuzz:
 	tools/fuzz.sh
+
+# Plays faults on real processes from outside: SEEDS fresh seeds, 50 if not given.
+soak:
+	JAYSHIFT_SOAK=$(or $(SEEDS),50) go test ./platform -run TestSoak -v -parallel 4 -timeout 60m
--- a/cmd/jayshift/edge.go
+++ b/cmd/jayshift/edge.go
@@ -2,7 +2,9 @@
 
 import (
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"jayshift/io/lines"
@@ -13,9 +15,10 @@
 )
 
 const (
-	flushTime  = 200 * time.Millisecond // for the last log lines at the end
-	megabyte   = 1 << 20
-	memoryPart = 0.8 // of the memory that the process may use, at which the collector works harder
+	flushTime   = 200 * time.Millisecond // for the last log lines at the end
+	signalsKept = 8                      // signals that may come before the host obeys them
+	megabyte    = 1 << 20
+	memoryPart  = 0.8 // of the memory that the process may use, at which the collector works harder
 )
 
 type edgeCommand struct {
@@ -24,6 +27,8 @@
 
 // Run serves until the process is told to stop.
 func (c *edgeCommand) Run() error {
+	signals := make(chan os.Signal, signalsKept)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	settings, err := setup.ReadEdge(c.Config)
 	if err != nil {
 		return err
@@ -44,5 +49,5 @@
 	if err != nil {
 		return err
 	}
-	return n.Run()
+	return n.Run(signals)
 }
--- a/io/node/life.go
+++ b/io/node/life.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -55,9 +54,10 @@
 		serve.New(listeners["metrics"], metrics),
 	}
 	serve.SetFrameworkLog(n.log)
+	// The framework stops on this signal; all others go through Run.
 	n.app = kratos.New(
 		kratos.Name("jayshift"), kratos.Server(servers...),
-		kratos.BeforeStop(n.beforeStop), kratos.StopTimeout(n.platform.Grace),
+		kratos.Signal(syscall.SIGQUIT), kratos.BeforeStop(n.beforeStop), kratos.StopTimeout(n.platform.Grace),
 	)
 }
 
@@ -70,13 +70,14 @@
 	return httpd.Limits{HeaderBytes: t.Limits.HeaderBytes, HeaderTime: t.Limits.HeaderTime, IdleTime: t.Limits.IdleTime}
 }
 
-// Run serves until the process is told to stop.
-func (n *Node) Run() error {
+// Run serves until a signal tells the process to stop. The signals are caught from the start of the process on, so that
+// none that comes early ends it by force.
+func (n *Node) Run(signals <-chan os.Signal) error {
 	go n.watch.Run(n.ctx)
 	go n.peers.Run(n.ctx)
 	go n.rolls.Run(n.ctx)
 	go n.sweep(n.ctx)
-	go n.reloads()
+	go n.obey(signals)
 	n.log.Info("host started", "host", n.settings.Name, "zone", n.settings.Zone, "region", n.settings.Region)
 	err := n.app.Run()
 	n.cancel()
@@ -85,14 +86,16 @@
 	return merry.Wrap(err)
 }
 
-// reloads notes that the settings may have changed. All that a running host may change comes from the store.
-func (n *Node) reloads() {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+// obey stops the host when a signal asks for it, and notes that the settings may have changed. All that a running host
+// may change comes from the store.
+func (n *Node) obey(signals <-chan os.Signal) {
 	for {
 		select {
-		case <-hangups:
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				n.stop()
+				return
+			}
 			n.log.Info("told to reload; settings take effect at the next start", "host", n.settings.Name)
 		case <-n.ctx.Done():
 			return
@@ -100,6 +103,12 @@
 	}
 }
 
+func (n *Node) stop() {
+	if err := n.app.Stop(); err != nil {
+		n.log.Warn("stop failed", "host", n.settings.Name, "error", err.Error())
+	}
+}
+
 // beforeStop takes the host out of the directory, serves what still comes, and waits until nothing runs. Callers learn
 // from the answers that their connections end.
 func (n *Node) beforeStop(context.Context) error {
