Count a small team's requests at one host of each region when its burst cannot be cut among all hosts

Now: when burst and slack are fewer than hosts, each region has one host that counts (rendezvous hashing over live hosts); the others ask it over the link, and count alone when it does not answer in 60 ms. The parts of the rate follow the demand to these hosts, and what is left of the burst is cut among them. At 9 or 10 hosts nothing changes. Ruled out: drawing lots for whole units at each heartbeat (keeps the sum, still refuses a third); a unit for every host (a sudden demand at all hosts then passes 60 beyond a burst of 16).

--- a/core/quota/part.go
+++ b/core/quota/part.go
@@ -157,3 +157,15 @@
 	}
 	return sum / max(1, float64(len(b.teams)))
 }
+
+// Small tells whether the team's burst is too small for each host to hold a request of it.
+func (b *Book) Small(team ident.Team) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.teams[team]
+	return a != nil && b.small(a)
+}
+
+func (b *Book) small(a *account) bool {
+	return b.known && a.rate.PerSecond > 0 && a.rate.Burst+slackUsed*b.Slack < b.count()
+}
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -23,6 +23,7 @@
 	idlePart     = 0.02            // of a rate, cut equally among the hosts, for those without demand
 	demandMemory = 1 * time.Second // time constant of a host's demand
 	leastDemand  = 0.05            // requests a second that count as none
+	lastDemand   = 1e-4            // requests a second by which a host still knows that it counts for a small team
 	lostHosts    = 20 * time.Second
 	unknownHosts = 20 // assumed until the host knows its peers
 )
@@ -151,6 +152,21 @@
 	a.left = min(a.left+elapsed*a.rate.PerSecond, a.rate.Burst)
 }
 
+// counting returns among how many hosts what is left of a burst is cut: those that count requests of a small team, all
+// for any other team.
+func (b *Book) counting(team ident.Team, a *account, hosts float64) float64 {
+	if a.agreed < lastDemand || !b.small(a) {
+		return hosts
+	}
+	n := 1.0
+	for _, p := range b.peers {
+		if p.uses[team].Demand >= lastDemand {
+			n++
+		}
+	}
+	return n
+}
+
 // Heartbeat works out what the host states of each team in its next heartbeat.
 func (b *Book) Heartbeat(now time.Time) map[ident.Team]Use {
 	b.mu.Lock()
@@ -175,7 +191,8 @@
 		a.free = 0
 		if !isolated {
 			left := max(0, a.left-b.unheard(now, team))
-			a.free = freeBurst*left*(0.5/hosts+0.5*a.part) + slackUsed*b.Slack/hosts
+			n := b.counting(team, a, hosts)
+			a.free = freeBurst*left*(0.5/n+0.5*a.part) + slackUsed*b.Slack/n
 		}
 	}
 }
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -197,6 +197,15 @@
 	// Asks for the changes since this revision.
 	Pull int `json:"pull" cbor:"pull"`
 
+	// QuotaAsk corresponds to the JSON schema field "quota-ask".
+	QuotaAsk *QuotaAsk `json:"quota-ask,omitempty,omitzero" cbor:"quota-ask,omitempty"`
+
+	// QuotaGrant corresponds to the JSON schema field "quota-grant".
+	QuotaGrant *QuotaGrant `json:"quota-grant,omitempty,omitzero" cbor:"quota-grant,omitempty"`
+
+	// QuotaReturn corresponds to the JSON schema field "quota-return".
+	QuotaReturn *QuotaReturn `json:"quota-return,omitempty,omitzero" cbor:"quota-return,omitempty"`
+
 	// Record corresponds to the JSON schema field "record".
 	Record *Record `json:"record,omitempty,omitzero" cbor:"record,omitempty"`
 
@@ -436,6 +445,27 @@
 	Type string `json:"type" cbor:"type"`
 }
 
+// A request of a team asks the host that counts for the team in its region.
+type QuotaAsk struct {
+	// Team.
+	Team string `json:"team" cbor:"team"`
+}
+
+// Answer to a request that asks.
+type QuotaGrant struct {
+	// When to come back if it was not, in milliseconds.
+	AfterMs int `json:"after-ms" cbor:"after-ms"`
+
+	// The request is within the team's rate and was counted.
+	Taken bool `json:"taken" cbor:"taken"`
+}
+
+// A request that was counted was not sent to any backend server.
+type QuotaReturn struct {
+	// Team.
+	Team string `json:"team" cbor:"team"`
+}
+
 // One step of a non-idempotent request, kept at two hosts.
 type Record struct {
 	// Body of the outcome, base64.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -13,13 +13,13 @@
 	"jayshift/core/ident"
 	"jayshift/core/place"
 	"jayshift/core/poison"
-	"jayshift/core/quota"
 	"jayshift/core/retry"
 	"jayshift/core/roster"
 	"jayshift/core/table"
 	"jayshift/io/conns"
 	"jayshift/io/httpd"
 	"jayshift/io/lines"
+	"jayshift/io/rates"
 )
 
 // Seams are what an edge needs from the rest of the process.
@@ -29,7 +29,7 @@
 	Table   func() *table.Table // nil when no configuration is known
 	Board   *place.Board
 	Pool    *conns.Pool
-	Quota   *quota.Book
+	Rates   *rates.Rates
 	Poison  *poison.List
 	// Budget is how many repeats all hosts together may send beyond a share of the requests, and how many hosts there are.
 	BudgetShare float64
@@ -104,12 +104,13 @@
 	if e.seams.Poison.Refused(time.Now(), q.fingerprint()) {
 		return refusal(outcomePoison, http.StatusServiceUnavailable, poisonAfter)
 	}
-	if ok, after := e.seams.Quota.Take(time.Now(), q.team); !ok {
+	taken, ok, after := e.seams.Rates.Take(q.ctx, q.team)
+	if !ok {
 		return refusal(outcomeRate, http.StatusTooManyRequests, after)
 	}
 	reply := e.run(q)
 	if q.sent == 0 {
-		e.seams.Quota.Return(q.team)
+		e.seams.Rates.Return(taken)
 	}
 	return reply
 }
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -64,7 +64,7 @@
 	if f.Strike != nil {
 		n.poison.Strike(now, poison.Print(f.Strike.Fingerprint), ident.BackendServer(f.Strike.BackendServer))
 	}
-	return nil
+	return n.rates.Answer(f)
 }
 
 func (n *Node) strike(p poison.Print, server ident.BackendServer) {
@@ -81,13 +81,7 @@
 // warms tells whether this host is the one that sends requests to a cold backend server: the first of the hosts in the
 // server's region, or of all when none is there.
 func (n *Node) warms(server ident.BackendServer) bool {
-	alive := n.peers.Alive(time.Now())
-	var near []peer.Peer
-	for _, p := range alive {
-		if string(p.Region) == n.settings.Region {
-			near = append(near, p)
-		}
-	}
+	near := n.nearPeers()
 	return n.first(string(server), near)
 }
 
@@ -107,6 +101,25 @@
 	return true
 }
 
+// nearPeers returns the live peers in this host's region.
+func (n *Node) nearPeers() []peer.Peer {
+	var near []peer.Peer
+	for _, p := range n.peers.Alive(time.Now()) {
+		if string(p.Region) == n.settings.Region {
+			near = append(near, p)
+		}
+	}
+	return near
+}
+
+func (n *Node) near() []ident.Host {
+	var hosts []ident.Host
+	for _, p := range n.nearPeers() {
+		hosts = append(hosts, p.Host)
+	}
+	return hosts
+}
+
 // settled tells whether all hosts know the store up to the revision, and run nothing on other versions of the service.
 func (n *Node) settled(service ident.Service, to ident.Version, revision ident.Revision) bool {
 	if n.edge.Running(service, to) > 0 {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -22,6 +22,7 @@
 	"jayshift/io/link"
 	"jayshift/io/meter"
 	"jayshift/io/peer"
+	"jayshift/io/rates"
 	"jayshift/io/roll"
 	"jayshift/io/setup"
 	"jayshift/io/store"
@@ -69,6 +70,7 @@
 	mesh     *link.Mesh
 	board    *place.Board
 	quota    *quota.Book
+	rates    *rates.Rates
 	poison   *poison.List
 	evidence *trial.Evidence
 	gate     *trial.Gate
@@ -123,6 +125,9 @@
 		Store: n.platform.Store, Watch: n.watch, Log: n.log, Gate: n.gate, Evidence: n.evidence, Encode: n.platform.Encode,
 		Leads: n.leads, Settled: n.settled, Broadcast: n.mesh.Broadcast,
 	})
+	n.rates = rates.New(rates.Seams{
+		Self: self, Book: n.quota, Near: n.near, Call: n.mesh.Call, Cast: n.mesh.Cast, Now: time.Now, Log: n.log,
+	})
 	n.board = place.New(place.Settings{
 		Place:   place.Place{Zone: ident.AvailabilityZone(s.Zone), Region: ident.Region(s.Region)},
 		Weights: place.DefaultWeights(), Warms: n.warms,
@@ -132,7 +137,7 @@
 
 func (n *Node) newEdge() *edge.Edge {
 	return edge.New(edge.Seams{
-		Dialect: n.platform.Dialect, Log: n.log, Table: n.watch.Table, Board: n.board, Pool: n.pool, Quota: n.quota,
+		Dialect: n.platform.Dialect, Log: n.log, Table: n.watch.Table, Board: n.board, Pool: n.pool, Rates: n.rates,
 		Poison: n.poison, BudgetShare: n.platform.RetryShare, BudgetSlack: n.platform.RetrySlack, Hosts: n.hosts,
 		Version: n.rolls.Version, Judge: n.judge, Strike: n.strike, Gone: n.watch.Gone, Leaving: n.leaving.Load,
 		Count: n.meter.Count,
