--- a/cmd/jayshift/path_test.go
+++ b/cmd/jayshift/path_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -63,12 +62,11 @@
 // freeAddress returns an address that was free a moment ago.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := fake.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func eventually(t *testing.T, what string, ok func() bool) {
