One package for the loops that do something after each period

Seven loops of the same shape stood in io/member, io/loans, io/moves, io/roll, io/watch, io/node and io/host.

--- a/io/host/frames.go
+++ b/io/host/frames.go
@@ -9,6 +9,7 @@
 	"jayshift/core/poison"
 	"jayshift/core/route"
 	"jayshift/core/wire"
+	"jayshift/io/pulse"
 )
 
 const (
@@ -87,16 +88,7 @@
 
 // reportLoop reads the load of the backend servers whose slots this host hands out, and tells the peers.
 func (h *Host) reportLoop(ctx context.Context) {
-	ticker := time.NewTicker(reportPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			h.report(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
+	pulse.Every(ctx, reportPeriod, func() { h.report(ctx) })
 }
 
 func (h *Host) report(ctx context.Context) {
--- a/io/loans/forecast.go
+++ b/io/loans/forecast.go
@@ -7,20 +7,12 @@
 	"jayshift/core/ident"
 	"jayshift/core/share"
 	"jayshift/core/wire"
+	"jayshift/io/pulse"
 )
 
 // Run borrows ahead of need and gives back what is no longer needed, until the context ends.
 func (l *Loans) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			l.Tick(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
+	pulse.Every(ctx, tickPeriod, func() { l.Tick(ctx) })
 }
 
 // Tick does one round of gathering and forecasts over all rates, and of returns over all slots.
--- a/io/member/beat.go
+++ b/io/member/beat.go
@@ -6,22 +6,14 @@
 
 	"jayshift/core/ident"
 	"jayshift/core/wire"
+	"jayshift/io/pulse"
 )
 
 const beatTimeout = 1500 * time.Millisecond
 
 // beatLoop sends heartbeats over every link.
 func (m *Member) beatLoop(ctx context.Context) {
-	ticker := time.NewTicker(m.beat)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			m.Beat(ctx)
-		case <-ctx.Done():
-			return
-		}
-	}
+	pulse.Every(ctx, m.beat, func() { m.Beat(ctx) })
 }
 
 // Beat sends one heartbeat to every linked host at once.
--- a/io/moves/moves.go
+++ b/io/moves/moves.go
@@ -19,6 +19,7 @@
 	"jayshift/core/trial"
 	"jayshift/core/wire"
 	"jayshift/io/feed"
+	"jayshift/io/pulse"
 	"jayshift/io/store"
 )
 
@@ -73,16 +74,7 @@
 
 // Run shares evidence, watches for faults and sets the gate, until the context ends.
 func (m *Moves) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			m.Tick(time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
+	pulse.Every(ctx, tickPeriod, func() { m.Tick(time.Now()) })
 }
 
 // Tick does one round at this host.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -22,6 +22,7 @@
 	"jayshift/io/link"
 	"jayshift/io/meter"
 	"jayshift/io/peer"
+	"jayshift/io/pulse"
 	"jayshift/io/rates"
 	"jayshift/io/roll"
 	"jayshift/io/setup"
@@ -168,20 +169,13 @@
 
 // sweep closes idle connections that are not wanted any more.
 func (n *Node) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepPause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	pulse.Every(ctx, sweepPause, func() {
 		wanted := map[string]bool{}
 		for _, s := range n.watch.Servers() {
 			wanted[s.Address] = true
 		}
 		n.pool.Sweep(time.Now(), func(address string) bool { return wanted[address] })
-	}
+	})
 }
 
 func (n *Node) self() wire.Edge {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -18,6 +18,7 @@
 	"jayshift/core/ident"
 	"jayshift/core/wire"
 	"jayshift/io/link"
+	"jayshift/io/pulse"
 	"jayshift/io/store"
 	"jayshift/io/watch"
 )
@@ -96,17 +97,10 @@
 	}
 }
 
+// every does something at once and after each pause.
 func (p *Peers) every(ctx context.Context, pause time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(pause)
-	defer ticker.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	do(ctx)
+	pulse.Every(ctx, pause, func() { do(ctx) })
 }
 
 // renew extends the host's lease, or takes a new one and states the host under it.
--- a/io/roll/roll.go
+++ b/io/roll/roll.go
@@ -14,6 +14,7 @@
 	"jayshift/core/roster"
 	"jayshift/core/trial"
 	"jayshift/core/wire"
+	"jayshift/io/pulse"
 	"jayshift/io/store"
 	"jayshift/io/watch"
 )
@@ -64,16 +65,7 @@
 
 // Run follows the moves until the context ends.
 func (r *Rolls) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickPause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			r.Tick(ctx, time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
+	pulse.Every(ctx, tickPause, func() { r.Tick(ctx, time.Now()) })
 }
 
 // Version returns the version that the next request of the service goes to, empty while none is known.
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -13,6 +13,7 @@
 	"jayshift/core/roster"
 	"jayshift/core/table"
 	"jayshift/core/wire"
+	"jayshift/io/pulse"
 	"jayshift/io/store"
 )
 
@@ -200,18 +201,11 @@
 
 // expire lets removals that had to wait take effect.
 func (w *Watch) expire(ctx context.Context) {
-	ticker := time.NewTicker(expiryPause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	pulse.Every(ctx, expiryPause, func() {
 		if w.roster.Expire(w.seams.Now()) || w.repopulated() {
 			w.seams.Changed()
 		}
-	}
+	})
 }
 
 // repopulated tells whether servers may have come free because their zone's evacuation ended a short while ago.
