--- a/core/quota/part.go
+++ b/core/quota/part.go
@@ -158,7 +158,7 @@
 	return sum / max(1, float64(len(b.teams)))
 }
 
-// Small tells whether the team's burst is too small for each host to hold a request of it.
+// Small tells whether the team's burst is too small for each host to hold a few requests of it.
 func (b *Book) Small(team ident.Team) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -167,5 +167,5 @@
 }
 
 func (b *Book) small(a *account) bool {
-	return b.known && a.rate.PerSecond > 0 && a.rate.Burst+slackUsed*b.Slack < b.count()
+	return b.known && a.rate.PerSecond > 0 && a.rate.Burst+slackUsed*b.Slack < fewRequests*b.count()
 }
--- a/io/rates/rates_test.go
+++ b/io/rates/rates_test.go
@@ -184,7 +184,7 @@
 func TestSuddenDemand(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(2) {
-		for _, rate := range []quota.Rate{small, {PerSecond: 3, Burst: 6}, {PerSecond: 20, Burst: 40}} {
+		for _, rate := range []quota.Rate{small, {PerSecond: 3, Burst: 6}, {PerSecond: 20, Burst: 40}, {PerSecond: 60, Burst: 120}} {
 			f := newFleet(rate, seed)
 			f.run(4*time.Second, 0.6*rate.PerSecond)
 			f.run(6*time.Second, 20*rate.PerSecond)
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -40,7 +40,7 @@
 	"no-configuration": "The host had just started and knew no configuration yet; the request was not run.",
 	"no-route":         "The configuration in force has no route for its host name and path.",
 	"key-refused":      "The configuration in force has no such key.",
-	"team-rate":        "The team was beyond its rate over all hosts; the request was not run.",
+	"team-rate":        "What this host may use of the team's rate was used up; the request was not run.",
 	"poison-request":   "Requests like it have taken down several backend servers; it was not run.",
 	"body-too-large":   "Its body is larger than the configuration allows.",
 	"body-broken":      "The caller broke off while it sent the body.",
