--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -23,7 +23,7 @@
 	idlePart     = 0.02            // of a rate, cut equally among the hosts, for those without demand
 	demandMemory = 1 * time.Second // time constant of a host's demand
 	leastDemand  = 0.05            // requests a second that count as none
-	fewRequests  = 3               // of a burst at each host, with fewer of which requests that come by chance are refused
+	fewRequests  = 3               // of a burst that each host holds; with fewer, requests that come by chance are refused
 	lastDemand   = 1e-4            // requests a second by which a host still knows that it counts for a small team
 	lostHosts    = 20 * time.Second
 	unknownHosts = 20 // assumed until the host knows its peers
