One choice of a host for a subject, found on reading the whole change once more

Rendezvous hashing of hosts stood five times with the same formula (io/loans, io/rates, io/node, core/seat); core/elect holds it now, with a test. The hosts of a region are listed without sorting all peers, since io/rates asks for them on requests of small teams. The last wait for a token treats this host as one of those it asks. The count of moments in a window stood in two tests; internal/fake holds it.

--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -10,6 +10,7 @@
 
 	"jayshift/core/ident"
 	"jayshift/core/quota"
+	"jayshift/internal/fake"
 )
 
 const (
@@ -127,18 +128,6 @@
 	}
 }
 
-// most returns the highest count of passed requests in any window.
-func (w *world) most() int {
-	most, first := 0, 0
-	for i, at := range w.passed {
-		for at.Sub(w.passed[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func (w *world) bound() float64 {
 	return (w.rate.PerSecond*window.Seconds()+w.rate.Burst)*1.1 + slack
 }
@@ -174,8 +163,8 @@
 			}
 			w.run(time.Duration(500+w.random.IntN(2500)) * time.Millisecond)
 		}
-		if float64(w.most()) > w.bound() {
-			t.Errorf("seed %d: %d requests in a window, at most %.0f allowed", seed, w.most(), w.bound())
+		if float64(fake.MostIn(window, w.passed)) > w.bound() {
+			t.Errorf("seed %d: %d requests in a window, at most %.0f allowed", seed, fake.MostIn(window, w.passed), w.bound())
 		}
 	}
 }
@@ -220,8 +209,8 @@
 				w.spread(4.7*r.PerSecond, 0.1)
 				w.run(6 * time.Second)
 			}
-			if float64(w.most()) > w.bound() {
-				t.Errorf("rate %.0f, seed %d: %d requests in a window, at most %.0f allowed", r.PerSecond, seed, w.most(), w.bound())
+			if float64(fake.MostIn(window, w.passed)) > w.bound() {
+				t.Errorf("rate %.0f, seed %d: %d requests in a window, at most %.0f allowed", r.PerSecond, seed, fake.MostIn(window, w.passed), w.bound())
 			}
 		}
 	}
--- a/core/seat/keeper.go
+++ b/core/seat/keeper.go
@@ -5,8 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"jayshift/core/elect"
 	"jayshift/core/ident"
 	"jayshift/core/wire"
 )
@@ -83,8 +82,7 @@
 			list = append(list, Keeper{Host: ident.Host(g.Host), Gone: true, since: g.KeeperSince})
 		}
 	}
-	rank := func(k Keeper) uint64 { return xxhash.Sum64String(key + "\x00" + string(k.Host)) }
-	sort.SliceStable(list, func(i, j int) bool { return rank(list[i]) < rank(list[j]) })
+	sort.SliceStable(list, func(i, j int) bool { return elect.Score(key, list[i].Host) < elect.Score(key, list[j].Host) })
 	standing := 0
 	for i, k := range list {
 		if k.since <= horizon {
--- a/io/loans/ask.go
+++ b/io/loans/ask.go
@@ -6,8 +6,7 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"jayshift/core/elect"
 	"jayshift/core/ident"
 	"jayshift/core/share"
 	"jayshift/core/wire"
@@ -84,17 +83,8 @@
 	l.empty[q][host] = l.seams.Now()
 }
 
-// gatherer returns the one of the hosts that gathers the shares of a quantity, by rendezvous hashing.
-func gatherer(q ident.Quantity, hosts []ident.Host) ident.Host {
-	var best ident.Host
-	var most uint64
-	for _, h := range hosts {
-		if rank := xxhash.Sum64String(string(q) + "\x00" + string(h)); best == "" || rank > most {
-			best, most = h, rank
-		}
-	}
-	return best
-}
+// gatherer returns the one of the hosts that gathers the shares of a quantity.
+func gatherer(q ident.Quantity, hosts []ident.Host) ident.Host { return elect.First(string(q), hosts) }
 
 // gathers tells whether this host gathers its region's shares of the quantity.
 func (l *Loans) gathers(q ident.Quantity) bool {
--- a/io/loans/loans.go
+++ b/io/loans/loans.go
@@ -146,16 +146,15 @@
 // last waits once more, after no peer had anything: where the region's shares are, then where those of other regions
 // are, since a region with little demand holds a share whose next token may be far off.
 func (l *Loans) last(ctx context.Context, q ident.Quantity, n int64) bool {
-	near := gatherer(q, l.seams.Near())
-	if near == l.seams.Self && l.await(ctx, q, n, longestWait) {
-		return true
-	}
-	hosts := []ident.Host{near}
+	hosts := []ident.Host{gatherer(q, l.seams.Near())}
 	for _, region := range l.seams.Far() {
 		hosts = append(hosts, gatherer(q, region))
 	}
 	for _, host := range hosts {
 		if host == l.seams.Self {
+			if l.await(ctx, q, n, longestWait) {
+				return true
+			}
 			continue
 		}
 		taken, beyond := l.spot(ctx, q, host, n, longestWait, true)
--- a/io/moves/moves.go
+++ b/io/moves/moves.go
@@ -109,7 +109,7 @@
 		return
 	}
 	share := verdict.Shares[string(service)]
-	m.stepOf(now, attempt, string(service), share)
+	m.stepOf(now, attempt, string(service), share) // the stay at a share counts from when it is followed
 	m.seams.Gate.Set(service, version, share)
 }
 
@@ -254,7 +254,7 @@
 	return next, changed || done
 }
 
-// stepOf returns since when this host has seen the share, which is what the stay is counted from.
+// stepOf returns since when this host has seen the share, which is now when it is asked for the first time.
 func (m *Moves) stepOf(now time.Time, attempt, service string, share float64) trial.Step {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -4,14 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"jayshift/core/elect"
 	"jayshift/core/ident"
 	"jayshift/core/poison"
 	"jayshift/core/quota"
 	"jayshift/core/roster"
 	"jayshift/core/wire"
-	"jayshift/io/peer"
 )
 
 // directoryLife is how long callers may keep an answer of the directory.
@@ -80,46 +78,26 @@
 
 // warms tells whether this host is the one that sends requests to a cold backend server: the first of the hosts in the
 // server's region, or of all when none is there.
-func (n *Node) warms(server ident.BackendServer) bool {
-	near := n.nearPeers()
-	return n.first(string(server), near)
-}
+func (n *Node) warms(server ident.BackendServer) bool { return n.first(string(server), n.near()) }
 
 // leads tells whether this host states the steps of a service's move.
 func (n *Node) leads(service ident.Service) bool {
-	return !n.leaving.Load() && n.first(string(service), n.peers.Alive(time.Now()))
+	return !n.leaving.Load() && n.first(string(service), n.peers.Hosts(time.Now(), anyRegion))
 }
 
-// first tells whether this host comes before the peers for a subject, by rendezvous hashing.
-func (n *Node) first(subject string, peers []peer.Peer) bool {
-	own := xxhash.Sum64String(subject + "\x00" + n.settings.Name)
-	for _, p := range peers {
-		if xxhash.Sum64String(subject+"\x00"+string(p.Host)) > own {
-			return false
-		}
-	}
-	return true
-}
-
-// nearPeers returns the live peers in this host's region.
-func (n *Node) nearPeers() []peer.Peer {
-	var near []peer.Peer
-	for _, p := range n.peers.Alive(time.Now()) {
-		if string(p.Region) == n.settings.Region {
-			near = append(near, p)
-		}
-	}
-	return near
+// first tells whether this host comes before the peers for a subject.
+func (n *Node) first(subject string, peers []ident.Host) bool {
+	self := ident.Host(n.settings.Name)
+	return elect.First(subject, append(peers, self)) == self
 }
 
+// near returns the live peers in this host's region.
 func (n *Node) near() []ident.Host {
-	var hosts []ident.Host
-	for _, p := range n.nearPeers() {
-		hosts = append(hosts, p.Host)
-	}
-	return hosts
+	return n.peers.Hosts(time.Now(), func(r ident.Region) bool { return string(r) == n.settings.Region })
 }
 
+func anyRegion(ident.Region) bool { return true }
+
 // settled tells whether all hosts know the store up to the revision, and run nothing on other versions of the service.
 func (n *Node) settled(service ident.Service, to ident.Version, revision ident.Revision) bool {
 	if n.edge.Running(service, to) > 0 {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -49,6 +49,9 @@
 // Fresh tells whether a heartbeat came lately.
 func (p Peer) Fresh(now time.Time) bool { return now.Sub(p.Heard) <= freshHeartbeat }
 
+// takesPart tells whether the peer is heard and not leaving.
+func (p Peer) takesPart(now time.Time) bool { return p.Fresh(now) && !p.State.Leaving }
+
 // Seams are what peers need from the rest of the process.
 type Seams struct {
 	Host  ident.Host
@@ -241,11 +244,24 @@
 	return len(p.peers)
 }
 
+// Hosts returns the names of the peers that take part and stand in a region that is wanted, in no order.
+func (p *Peers) Hosts(now time.Time, wanted func(ident.Region) bool) []ident.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var hosts []ident.Host
+	for host, known := range p.peers {
+		if known.takesPart(now) && wanted(known.Region) {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 // Alive returns the peers that take part: those with a fresh heartbeat that are not leaving.
 func (p *Peers) Alive(now time.Time) []Peer {
 	var alive []Peer
 	for _, known := range p.List() {
-		if known.Fresh(now) && !known.State.Leaving {
+		if known.takesPart(now) {
 			alive = append(alive, known)
 		}
 	}
--- a/io/rates/rates.go
+++ b/io/rates/rates.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/cespare/xxhash/v2"
 
+	"jayshift/core/elect"
 	"jayshift/core/ident"
 	"jayshift/core/quota"
 	"jayshift/core/wire"
@@ -93,17 +93,7 @@
 	return nil
 }
 
-// keeper returns the host of the region that counts for the team, by rendezvous hashing.
+// keeper returns the host of the region that counts for the team.
 func (r *Rates) keeper(team ident.Team) ident.Host {
-	best, most := r.seams.Self, rank(team, r.seams.Self)
-	for _, host := range r.seams.Near() {
-		if n := rank(team, host); n > most {
-			best, most = host, n
-		}
-	}
-	return best
-}
-
-func rank(team ident.Team, host ident.Host) uint64 {
-	return xxhash.Sum64String(string(team) + "\x00" + string(host))
+	return elect.First(string(team), append(r.seams.Near(), r.seams.Self))
 }
--- a/io/rates/rates_test.go
+++ b/io/rates/rates_test.go
@@ -14,6 +14,7 @@
 	"jayshift/core/ident"
 	"jayshift/core/quota"
 	"jayshift/core/wire"
+	"jayshift/internal/fake"
 	"jayshift/io/rates"
 )
 
@@ -150,18 +151,6 @@
 	f.refused++
 }
 
-// most returns the highest count of passed requests in any window.
-func (f *fleet) most() int {
-	most, first := 0, 0
-	for i, at := range f.passed {
-		for at.Sub(f.passed[first]) > window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func (f *fleet) bound() float64 { return (f.rate.PerSecond*window.Seconds()+f.rate.Burst)*1.1 + slack }
 
 // TestSmallTeamOnManyHosts spreads a team that stays within its rate over many more hosts than its burst has requests.
@@ -192,8 +181,8 @@
 				f.died[f.random.IntN(hostCount)] = f.now
 			}
 			f.run(4*time.Second, 20*rate.PerSecond)
-			if float64(f.most()) > f.bound() {
-				t.Errorf("seed %d, rate %.0f: %d in a window, at most %.0f", seed, rate.PerSecond, f.most(), f.bound())
+			if float64(fake.MostIn(window, f.passed)) > f.bound() {
+				t.Errorf("seed %d, rate %.0f: %d in a window, at most %.0f", seed, rate.PerSecond, fake.MostIn(window, f.passed), f.bound())
 			}
 		}
 	}
