Stop cutting large responses, and bytes without end from backend servers

Cause: runAttempts canceled the context of all attempts when it had chosen the reply, and the end of that context closes the connection to the server.

Change: each attempt has a context of its own. The one whose response is forwarded ends when the response has been written; the others end when the reply is chosen. A body that has begun may take two seconds beyond the deadline. Bodies over 16 KiB share a memory budget (host.body-buffer-mb); beyond it they are streamed.

Also in io/conns, each shown by a test that failed before: a response header without end took memory without bound and was read until the deadline; a late response's body without end held the request until its deadline; a request without an id took a late response to an earlier one on a pooled connection.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -38,9 +39,9 @@
 	maxIdleTime       = 4 * time.Second // after which a connection is not used again
 	maxFreshIdleTime  = 1 * time.Second // of connections that requests with AvoidStale may use
 	readBufferSize    = 4 << 10
-	maxBufferedBody   = 256 << 10             // larger response bodies are streamed
 	maxResponseReads  = 4                     // responses read per request, including interim responses and those to other requests
 	deadlineGrace     = 20 * time.Millisecond // added to the request's deadline for the connection's deadline
+	streamGrace       = 2 * time.Second       // added instead once the caller can be sent the start of a streamed body
 )
 
 // Request is an HTTP request to a backend server.
@@ -56,7 +57,9 @@
 	AvoidStale    bool      // for requests that must not be lost: use no connection idle for longer than maxFreshIdleTime
 }
 
-// Response is the response of a backend server. Its body is complete in Body unless BodyStream is set.
+// Response is the response of a backend server. Its body is complete in Body unless BodyStream is set. The end of the
+// context that was passed to Do releases the body: it closes BodyStream's connection, if that is not at its end, and
+// frees the memory reserved for a large body.
 type Response struct {
 	Status        int
 	Header        http.Header
@@ -70,14 +73,18 @@
 	// IDHeader is the name of the response header that carries the id of the request.
 	IDHeader string
 
-	opened atomic.Int64
-	mu     sync.Mutex
-	idle   map[string][]*conn // by address, the most recently used last
+	buffers budget // memory for the bodies of large responses
+	opened  atomic.Int64
+	mu      sync.Mutex
+	idle    map[string][]*conn // by address, the most recently used last
 }
 
-// New returns an empty pool. Responses are matched to requests by the header idHeader.
-func New(idHeader string) *Pool {
-	return &Pool{IDHeader: idHeader, idle: map[string][]*conn{}}
+// New returns an empty pool. Responses are matched to requests by the header idHeader. maxBuffered limits the memory, in
+// bytes, for response bodies that are larger than maxSmallBody; beyond it they are streamed.
+func New(idHeader string, maxBuffered int64) *Pool {
+	p := &Pool{IDHeader: idHeader, idle: map[string][]*conn{}}
+	p.buffers.free.Store(maxBuffered)
+	return p
 }
 
 // Opened returns the number of connections opened so far.
@@ -87,6 +94,7 @@
 type conn struct {
 	net.Conn
 	address  string
+	limit    *io.LimitedReader // below reader; limits the bytes of a response header
 	reader   *bufio.Reader
 	lastUsed time.Time
 	maxIdle  time.Duration // maximum idle time, at most what the server's Keep-Alive header allows
@@ -94,9 +102,13 @@
 
 // Do sends the request to the address and returns its response. The deadline applies to both dialing and the response.
 // connectTime is the time it took to open a connection, or zero if an idle connection was reused. The error is
-// ErrNotSent, ErrBroken or ErrTimeout.
+// ErrNotSent, ErrBroken or ErrTimeout. A request without an id gets a connection of its own, since its response could not
+// be told from a late one to an earlier request.
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (resp *Response, connectTime time.Duration, err error) {
-	c := p.takeIdle(address, r.AvoidStale)
+	var c *conn
+	if r.ID != "" {
+		c = p.takeIdle(address, r.AvoidStale)
+	}
 	if c == nil {
 		started := time.Now()
 		if c, err = p.dial(ctx, address, deadline); err != nil {
@@ -118,8 +130,8 @@
 		return nil, merry.Prepend(ErrNotSent, err.Error())
 	}
 	p.opened.Add(1)
-	c := &conn{Conn: socket, address: address, maxIdle: maxIdleTime}
-	c.reader = bufio.NewReaderSize(socket, readBufferSize)
+	c := &conn{Conn: socket, address: address, maxIdle: maxIdleTime, limit: &io.LimitedReader{R: socket, N: math.MaxInt64}}
+	c.reader = bufio.NewReaderSize(c.limit, readBufferSize)
 	return c, nil
 }
 
@@ -205,14 +217,15 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(deadline.Add(deadlineGrace))
 	sendErr := c.send(r)
-	resp, reusable, err := p.receive(c, r)
+	resp, reusable, err := p.receive(ctx, c, r)
 	if err != nil {
 		stop()
 		_ = c.Close()
 		return nil, classifyError(ctx, sendErr, err)
 	}
-	reusable = reusable && sendErr == nil
+	reusable = reusable && sendErr == nil && r.ID != ""
 	if resp.BodyStream != nil {
+		_ = c.SetDeadline(deadline.Add(streamGrace))
 		resp.BodyStream = &bodyStream{body: resp.BodyStream, onEnd: func(complete bool) { p.release(c, stop, reusable && complete) }}
 		return resp, nil
 	}
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,7 @@
 const (
 	idHeader    = "Request-Id"
 	testTimeout = 2 * time.Second
+	maxBuffered = 1 << 20 // bytes
 )
 
 // server writes what respond returns for each request, as raw bytes. An empty string closes the connection. respond gets
@@ -118,7 +120,7 @@
 				}
 				return okResponse(r.Header.Get(idHeader), "good")
 			})
-			p := conns.New(idHeader)
+			p := conns.New(idHeader, maxBuffered)
 			_, err := do(p, s, newRequest("1"))
 			is.NoErr(err)
 			resp, err := do(p, s, newRequest("2"))
@@ -137,7 +139,7 @@
 func TestConnectionIsUsedAgain(t *testing.T) {
 	is := is.New(t)
 	s := startServer(t, func(_ int, r *http.Request) string { return okResponse(r.Header.Get(idHeader), "yes") })
-	p := conns.New(idHeader)
+	p := conns.New(idHeader, maxBuffered)
 	for i := range 5 {
 		_, err := do(p, s, newRequest(fmt.Sprint(i)))
 		is.NoErr(err)
@@ -148,7 +150,7 @@
 func TestClosedConnectionIsNotUsed(t *testing.T) {
 	is := is.New(t)
 	s := startServer(t, func(_ int, r *http.Request) string { return okResponse(r.Header.Get(idHeader), "yes") + "cut" })
-	p := conns.New(idHeader)
+	p := conns.New(idHeader, maxBuffered)
 	r := newRequest("1")
 	r.AvoidStale = true
 	_, err := do(p, s, r)
@@ -164,7 +166,7 @@
 	is.NoErr(err)
 	address := l.Addr().String()
 	is.NoErr(l.Close())
-	_, _, err = conns.New(idHeader).Do(context.Background(), address, newRequest("1"), time.Now().Add(testTimeout))
+	_, _, err = conns.New(idHeader, maxBuffered).Do(context.Background(), address, newRequest("1"), time.Now().Add(testTimeout))
 	is.True(errors.Is(err, conns.ErrNotSent))
 }
 
@@ -173,7 +175,7 @@
 	block := make(chan struct{})
 	t.Cleanup(func() { close(block) })
 	s := startServer(t, func(int, *http.Request) string { <-block; return "" })
-	p := conns.New(idHeader)
+	p := conns.New(idHeader, maxBuffered)
 	_, _, err := p.Do(context.Background(), s.address, newRequest("1"), time.Now().Add(50*time.Millisecond))
 	is.True(errors.Is(err, conns.ErrTimeout))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -205,7 +207,7 @@
 			if c.stream != "" {
 				r.BodyStream = strings.NewReader(c.stream)
 			}
-			resp, err := do(conns.New(idHeader), s, r)
+			resp, err := do(conns.New(idHeader, maxBuffered), s, r)
 			is.NoErr(err)
 			body := string(resp.Body)
 			if resp.BodyStream != nil {
@@ -217,3 +219,130 @@
 		})
 	}
 }
+
+// startEndless starts a server that sends the head of a response and then the same bytes, until the caller closes the connection.
+func startEndless(t *testing.T, head, repeated string) (address string, closed <-chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	done := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer close(done)
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, err = io.WriteString(c, head)
+		block := []byte(repeated)
+		for err == nil {
+			_, err = c.Write(block)
+		}
+	}()
+	return l.Addr().String(), done
+}
+
+// TestBytesWithoutEnd checks that a server that sends bytes without end, where they are no response, is given up with
+// bounded memory and long before the deadline.
+func TestBytesWithoutEnd(t *testing.T) {
+	const (
+		maxMemory = 16 << 20 // bytes
+		maxTime   = testTimeout / 2
+	)
+	line := strings.Repeat("x", 1000)
+	for name, c := range map[string]struct{ head, repeated string }{
+		"status line":                {"HTTP/1.1 200 ", line},
+		"not HTTP":                   {"", line},
+		"header field":               {"HTTP/1.1 200 OK\r\nA: ", line},
+		"header fields":              {"HTTP/1.1 200 OK\r\n", "A: " + line + "\r\n"},
+		"interim responses":          {"", "HTTP/1.1 103 Early Hints\r\nA: " + line + "\r\n\r\n"},
+		"late responses":             {"", okResponse("0", line)},
+		"body of a late response":    {"HTTP/1.1 200 OK\r\n" + idHeader + ": 0\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + line + "\r\n"},
+		"trailer":                    {"HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: " + line + "\r\n"},
+		"chunk extension":            {"HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n5;", line},
+		"chunk extensions":           {"HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + line + "\r\nx\r\n"},
+		"body of an unmarked answer": {"HTTP/1.1 200 OK\r\n\r\n", line},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, closed := startEndless(t, c.head, c.repeated)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			started := time.Now()
+			_, _, err := conns.New(idHeader, maxBuffered).Do(context.Background(), address, newRequest("1"), started.Add(testTimeout))
+			is.True(errors.Is(err, conns.ErrBroken))
+			is.True(time.Since(started) < maxTime)
+			runtime.ReadMemStats(&after)
+			is.True(after.TotalAlloc-before.TotalAlloc < maxMemory)
+			select {
+			case <-closed:
+			case <-time.After(testTimeout):
+				t.Fatal("the connection was not closed")
+			}
+		})
+	}
+}
+
+// TestBodyWithoutEnd checks that a body without end is streamed with bounded memory and ends with an error, soon after the
+// deadline at the latest.
+func TestBodyWithoutEnd(t *testing.T) {
+	const maxMemory = 16 << 20 // bytes
+	is := is.New(t)
+	address, _ := startEndless(t, "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nConnection: close\r\n\r\n", strings.Repeat("x", 1000))
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	resp, _, err := conns.New(idHeader, maxBuffered).Do(context.Background(), address, newRequest("1"), time.Now().Add(100*time.Millisecond))
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, resp.BodyStream)
+	is.True(err != nil) // a cut body does not look complete
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < maxMemory)
+}
+
+// TestRequestWithoutID checks that a request without an id never gets a late response to an earlier request: without ids,
+// the two could not be told apart.
+func TestRequestWithoutID(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, func(int, *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	})
+	p := conns.New(idHeader, maxBuffered)
+	r := newRequest("")
+	r.Header = http.Header{}
+	for range 3 {
+		resp, err := do(p, s, r)
+		is.NoErr(err)
+		is.Equal(string(resp.Body), "ok")
+	}
+	is.Equal(s.accepted.Load(), int64(3))
+}
+
+// TestBufferBudget checks that bodies are streamed when the memory for large bodies is used up, and that the end of a
+// request's context frees its memory.
+func TestBufferBudget(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 100<<10)
+	s := startServer(t, func(_ int, r *http.Request) string { return okResponse(r.Header.Get(idHeader), body) })
+	p := conns.New(idHeader, 256<<10)
+	send := func(ctx context.Context, id string) *conns.Response {
+		resp, _, err := p.Do(ctx, s.address, newRequest(id), time.Now().Add(testTimeout))
+		is.NoErr(err)
+		return resp
+	}
+	first, releaseFirst := context.WithCancel(context.Background())
+	is.Equal(len(send(first, "1").Body), len(body))
+	streamed := send(context.Background(), "2")
+	is.True(streamed.BodyStream != nil) // the memory is used up
+	rest, err := io.ReadAll(streamed.BodyStream)
+	is.NoErr(err)
+	is.Equal(string(streamed.Body)+string(rest), body)
+	releaseFirst()
+	time.Sleep(20 * time.Millisecond) // until the context's end has been handled
+	is.Equal(len(send(context.Background(), "3").Body), len(body))
+}
--- a/io/conns/receive.go
+++ b/io/conns/receive.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httputil"
 	"strings"
@@ -11,6 +13,13 @@
 	"github.com/ansel1/merry/v2"
 )
 
+const (
+	maxHeaderBytes  = 64 << 10  // of a response
+	maxSmallBody    = 16 << 10  // bytes; bodies up to this size are always buffered
+	maxBufferedBody = 256 << 10 // bytes; larger response bodies are streamed
+	maxLateBody     = 256 << 10 // bytes of a response to an earlier request that are discarded
+)
+
 // sendChunked writes the header in head and a body of unknown length in chunked encoding.
 func (c *conn) sendChunked(head *bytes.Buffer, r Request) error {
 	if _, err := c.Conn.Write(head.Bytes()); err != nil {
@@ -33,9 +42,9 @@
 }
 
 // receive reads the response to the request. It skips interim responses and late responses to earlier requests.
-func (p *Pool) receive(c *conn, r Request) (resp *Response, reusable bool, err error) {
+func (p *Pool) receive(ctx context.Context, c *conn, r Request) (resp *Response, reusable bool, err error) {
 	for range maxResponseReads {
-		httpResp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		httpResp, err := c.readHeader(r)
 		if err != nil {
 			return nil, false, err
 		}
@@ -49,34 +58,65 @@
 			if id == "" || httpResp.Close {
 				return nil, false, merry.Errorf("response carries request id %q", id)
 			}
-			if _, err := io.Copy(io.Discard, httpResp.Body); err != nil {
-				return nil, false, err
+			if n, err := io.CopyN(io.Discard, httpResp.Body, maxLateBody); err != io.EOF {
+				return nil, false, merry.Errorf("late response to another request, not ended after %d bytes: %v", n, err)
 			}
 			continue
 		}
-		return c.readBody(httpResp)
+		return p.readBody(ctx, c, httpResp)
 	}
 	return nil, false, merry.New("no response to this request among those received")
 }
 
-// readBody reads the response body, or the first maxBufferedBody+1 bytes of a larger one.
-func (c *conn) readBody(httpResp *http.Response) (resp *Response, reusable bool, err error) {
+// readHeader reads a response up to its body. A header of more than maxHeaderBytes ends in an error.
+func (c *conn) readHeader(r Request) (*http.Response, error) {
+	c.limit.N = maxHeaderBytes
+	defer func() { c.limit.N = math.MaxInt64 }()
+	return http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+}
+
+// readBody reads the response body, or the start of a larger one than may be buffered.
+func (p *Pool) readBody(ctx context.Context, c *conn, httpResp *http.Response) (resp *Response, reusable bool, err error) {
 	resp = &Response{Status: httpResp.StatusCode, Header: httpResp.Header, ContentLength: httpResp.ContentLength}
 	c.maxIdle = maxIdleTime
 	if serverTimeout, ok := keepAliveTimeout(httpResp.Header); ok {
 		c.maxIdle = min(c.maxIdle, serverTimeout)
 	}
 	reusable = !httpResp.Close
-	resp.Body, err = io.ReadAll(io.LimitReader(httpResp.Body, maxBufferedBody+1))
-	if err != nil {
+	var complete bool
+	if resp.Body, complete, err = p.bufferBody(ctx, httpResp); err != nil {
 		return nil, false, err
 	}
-	if len(resp.Body) > maxBufferedBody {
+	if !complete {
 		resp.BodyStream = httpResp.Body
 	}
 	return resp, reusable, nil
 }
 
+// bufferBody returns the body, or its start if it is larger than maxBufferedBody or the memory for large bodies is used
+// up. The memory that it reserves is freed when ctx ends.
+func (p *Pool) bufferBody(ctx context.Context, httpResp *http.Response) (body []byte, complete bool, err error) {
+	if httpResp.ContentLength >= 0 && httpResp.ContentLength <= maxSmallBody {
+		body, err = io.ReadAll(httpResp.Body)
+		return body, err == nil, err
+	}
+	if httpResp.ContentLength > maxBufferedBody || !p.buffers.take(maxBufferedBody) {
+		return readStart(httpResp.Body, maxSmallBody)
+	}
+	context.AfterFunc(ctx, func() { p.buffers.release(maxBufferedBody) })
+	return readStart(httpResp.Body, maxBufferedBody)
+}
+
+// readStart returns the first maxBytes of the body, and whether that was the whole body.
+func readStart(body io.Reader, maxBytes int64) ([]byte, bool, error) {
+	var start bytes.Buffer
+	_, err := io.CopyN(&start, body, maxBytes)
+	if err == io.EOF {
+		return start.Bytes(), true, nil
+	}
+	return start.Bytes(), false, err
+}
+
 // keepAliveTimeout returns the idle timeout in the server's Keep-Alive header, less a margin of a quarter.
 func keepAliveTimeout(h http.Header) (time.Duration, bool) {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -35,12 +35,18 @@
 // An attempt whose server has answered nothing for the hedge delay is not canceled, since a response may still come: a
 // second attempt runs in parallel, and the first response to forward is used.
 func (e *Edge) runAttempts(q *request) *reply {
-	ctx, cancel := context.WithCancel(q.ctx)
-	defer cancel() // cancels the other attempts, whose responses are not needed
+	var attempts attemptSet
+	r := e.chooseReply(q, &attempts)
+	attempts.choose(r)
+	return r
+}
+
+// chooseReply makes attempts until it can choose the reply to the request.
+func (e *Edge) chooseReply(q *request, attempts *attemptSet) *reply {
 	results := make(chan attemptResult, q.route.MaxAttempts+maxUnsent)
 	var best *reply
 	for {
-		reservation, refused := e.startAttempt(ctx, q, results)
+		reservation, refused := e.startAttempt(q, attempts, results)
 		if reservation == nil && q.running == 0 {
 			return q.replyWithoutServer(best, refused)
 		}
@@ -70,7 +76,7 @@
 
 // startAttempt starts an attempt at the best server. It returns a nil reservation with a refusal if no server can take the
 // request now, and without one if the retry budget is exhausted.
-func (e *Edge) startAttempt(ctx context.Context, q *request, results chan<- attemptResult) (*place.Reservation, *place.Refusal) {
+func (e *Edge) startAttempt(q *request, attempts *attemptSet, results chan<- attemptResult) (*place.Reservation, *place.Refusal) {
 	q.version = e.deps.Version(q.service)
 	reservation, refused := e.deps.Balancer.Pick(time.Now(), q.query())
 	if refused != nil {
@@ -86,10 +92,11 @@
 	}
 	q.attempted = append(q.attempted, reservation.Server.ID)
 	q.running++
+	ctx, index := attempts.add(q.ctx)
 	if q.idempotent() {
-		go e.attempt(ctx, q, reservation, results)
+		go e.attempt(ctx, index, q, reservation, results)
 	} else {
-		e.attempt(ctx, q, reservation, results)
+		e.attempt(ctx, index, q, reservation, results)
 	}
 	return reservation, nil
 }
@@ -141,8 +148,9 @@
 	return q.replayable() && q.sent < q.route.MaxAttempts
 }
 
-// attempt sends the request to one server, releases the reservation and sends the result to results.
-func (e *Edge) attempt(ctx context.Context, q *request, reservation *place.Reservation, results chan<- attemptResult) {
+// attempt sends the request to one server, releases the reservation and sends the result to results. The response is valid
+// until ctx ends.
+func (e *Edge) attempt(ctx context.Context, index int, q *request, reservation *place.Reservation, results chan<- attemptResult) {
 	server := &reservation.Server
 	e.addRunning(server, 1)
 	defer e.addRunning(server, -1)
@@ -150,6 +158,7 @@
 	response, connectTime, err := e.deps.Pool.Do(ctx, server.Address, q.serverRequest(server.ID, deadline), deadline)
 	now := time.Now()
 	reply, outcome := e.classifyResponse(ctx, q, reservation, response, err)
+	reply.attempt = index
 	outcome.ConnectTime = connectTime
 	e.recordOutcome(q, reservation, outcome.Result, now)
 	reservation.Release(now, outcome)
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -151,7 +151,7 @@
 	balancer.Update(entries, func(ident.Service) float64 { return 0 })
 	f.edge = edge.New(edge.Deps{
 		Protocol: protocol, Log: slog.New(slog.DiscardHandler), Table: func() *table.Table { return f.table }, Balancer: balancer,
-		Pool: conns.New(protocol.RequestID), Rates: rates.New(rates.Deps{Self: "a", Quota: f.quota, RegionPeers: func() []ident.Host { return nil }, Now: time.Now}), Poison: poison.New(), RetryRatio: 1, RetrySlack: 100,
+		Pool: conns.New(protocol.RequestID, 1<<20), Rates: rates.New(rates.Deps{Self: "a", Quota: f.quota, RegionPeers: func() []ident.Host { return nil }, Now: time.Now}), Poison: poison.New(), RetryRatio: 1, RetrySlack: 100,
 		HostCount: func() int { return 1 }, Version: func(ident.Service) ident.Version { return "" },
 		RecordOutcome:   func(roster.Server, ident.Route, bool, float64) {},
 		BroadcastStrike: func(poison.Fingerprint, ident.BackendServer) {}, Leaving: func() bool { return false },
@@ -161,6 +161,10 @@
 }
 
 func (f *fixture) send(method, path, key, body string) *httpd.Response {
+	return f.sendWith(context.Background(), method, path, key, body)
+}
+
+func (f *fixture) sendWith(ctx context.Context, method, path, key, body string) *httpd.Response {
 	q := httptest.NewRequest(method, path, strings.NewReader(body))
 	q.Host = "h"
 	q.Header.Set(protocol.RequestID, "id-1")
@@ -168,7 +172,7 @@
 	if key != "" {
 		q.Header.Set("Key", key)
 	}
-	return f.edge.Serve(context.Background(), q)
+	return f.edge.Serve(ctx, q)
 }
 
 // TestAdmission checks that a request that must be refused gets the right status and reaches no server.
--- a/io/edge/reply.go
+++ b/io/edge/reply.go
@@ -52,6 +52,8 @@
 	status        int
 	retryAfter    time.Duration   // value of Retry-After, zero to omit the header
 	response      *conns.Response // response of a backend server, nil if jayshift itself replies
+	attempt       int             // index of the attempt that the response came from
+	release       func()          // releases the response once it is forwarded; nil if there is none
 	abort         bool            // close the connection without a reply
 }
 
@@ -129,7 +131,10 @@
 	if !known {
 		length = -1
 	}
-	return &httpd.Response{Status: response.Status, Header: h, Body: response.Body, BodyStream: response.BodyStream, ContentLength: length}
+	return &httpd.Response{
+		Status: response.Status, Header: h, Body: response.Body, BodyStream: response.BodyStream, ContentLength: length,
+		Release: r.release,
+	}
 }
 
 // localReply returns a reply of jayshift itself, with the outcome as its body.
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -264,6 +264,7 @@
 		close(done)
 	}()
 	resp := c.server.Handle(c.ctx, r)
+	defer resp.end()
 	c.wait(turn)
 	if c.ctx.Err() != nil || c.writeClosed {
 		return
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -37,6 +37,17 @@
 	BodyStream    io.ReadCloser // remainder of the body after Body, or nil; a read error closes the connection, which shows the truncation
 	ContentLength int64         // of the complete body in bytes, -1 if unknown
 	Abort         bool          // close the connection without a response
+	Release       func()        // called once the response has been written or dropped; may be nil
+}
+
+// end closes the BodyStream and calls Release.
+func (r *Response) end() {
+	if r.BodyStream != nil {
+		_ = r.BodyStream.Close()
+	}
+	if r.Release != nil {
+		r.Release()
+	}
 }
 
 // Limits bounds the size and duration of what callers send. Zero values select the defaults.
--- a/io/httpd/write.go
+++ b/io/httpd/write.go
@@ -32,7 +32,6 @@
 		_, _ = w.Write(r.Body)
 		return w.Flush()
 	}
-	defer func() { _ = r.BodyStream.Close() }()
 	return c.stream(r, chunked)
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -37,6 +37,7 @@
 	// It is above the default because a lost response looks the same as a lost server.
 	poisonStrikeLimit = 3
 	sweepInterval     = 1 * time.Second
+	megabyte          = 1 << 20 // bytes
 )
 
 // Platform adapts jayshift to the platform's store, headers, endpoints and limits.
@@ -110,7 +111,7 @@
 	n.poison.StrikeLimit = poisonStrikeLimit
 	n.evidence = canary.NewEvidence()
 	n.gate = canary.NewGate()
-	n.pool = conns.New(n.platform.Protocol.RequestID)
+	n.pool = conns.New(n.platform.Protocol.RequestID, int64(s.BodyBufferMB)*megabyte)
 	n.watch = watch.New(watch.Deps{
 		Store: n.platform.Store, Decode: n.platform.Decode, RegionByZone: s.Regions, Log: n.log, Now: time.Now,
 		OnChange: n.applyStoreChange, PeerReader: n.storeReader, FetchCopy: peer.Fetch,
--- a/io/setup/edge.go
+++ b/io/setup/edge.go
@@ -31,6 +31,7 @@
 	Seeds             []string // link addresses to try while the store is unavailable and no peer is known
 	Bounds            string   // limits set by the platform, in its own name=value format
 	MemoryMB          int      // memory that the process may use
+	BodyBufferMB      int      // memory for the bodies of large responses
 	LogLevel          slog.Level
 }
 
@@ -45,6 +46,7 @@
 	{"host", "availability-zone", required, "", "Availability zone that the host stands in.", nameField(func(s *EdgeSettings) *string { return &s.Zone })},
 	{"host", "region", required, "", "Region of the availability zone.", nameField(func(s *EdgeSettings) *string { return &s.Region })},
 	{"host", "memory-mb", "256", "MB", "Memory that the process may use; the collector keeps below it.", countField(func(s *EdgeSettings) *int { return &s.MemoryMB })},
+	{"host", "body-buffer-mb", "24", "MB", "Memory for the bodies of large responses; beyond it they are streamed and not retried.", countField(func(s *EdgeSettings) *int { return &s.BodyBufferMB })},
 	{"listen", "caller", required, "address", "Where callers send requests.", addressField(func(s *EdgeSettings) *string { return &s.CallerAddress })},
 	{"listen", "directory", required, "address", "Where callers ask which hosts to use.", addressField(func(s *EdgeSettings) *string { return &s.DirectoryAddress })},
 	{"listen", "ready", required, "address", "Where the platform asks whether the host takes callers.", addressField(func(s *EdgeSettings) *string { return &s.ReadyAddress })},
@@ -68,13 +70,17 @@
 
 // check returns the violations between several settings.
 func (s *EdgeSettings) check(lines map[string]int) []violation {
+	var list []violation
+	if 2*s.BodyBufferMB > s.MemoryMB {
+		list = append(list, violation{line: lines["host.body-buffer-mb"], key: "host.body-buffer-mb", reason: "is more than half of host.memory-mb"})
+	}
 	if s.Zone == "" || s.Region == "" || s.Regions == nil {
-		return nil // the missing or invalid settings are already listed
+		return list // the missing or invalid settings are already listed
 	}
 	if s.Regions[ident.AvailabilityZone(s.Zone)] != ident.Region(s.Region) {
-		return []violation{{line: lines["fleet.regions"], key: "fleet.regions", reason: "does not name the host's zone and region"}}
+		list = append(list, violation{line: lines["fleet.regions"], key: "fleet.regions", reason: "does not name the host's zone and region"})
 	}
-	return nil
+	return list
 }
 
 // textField returns a setter for any text.
