Keep a team's usage at the peers as sums instead of adding it up for each heartbeat

Cause: each heartbeat recomputed this host's share of every team's rate from every peer's last report: teams times hosts for each heartbeat, and hosts times two heartbeats a second. Each request of a team with a burst did the same for its team. Change: core/quota keeps sums over the peers, changed by report; a full recount runs once for each of its own heartbeats.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -48,7 +48,9 @@
 	mu         sync.Mutex
 	teams      map[ident.Team]*teamState
 	peers      map[ident.Host]*peer
-	peersKnown bool // SetPeers has been called
+	peersKnown bool    // SetPeers has been called
+	isolated   bool    // this host hears of too few peers to use more than its minimum share
+	silent     float64 // number of silent peers
 }
 
 // teamState is the state of one team at this host.
@@ -65,6 +67,7 @@
 	admitted        float64 // requests admitted since the process started
 	remaining       float64 // burst that remains after the requests that all hosts are known to have admitted
 	allowance       float64 // requests of the remaining burst that this host may admit until the next heartbeat
+	peers           peerSums
 }
 
 // Usage is a host's report on one team: Demand is in requests per second, Admitted is the number of requests admitted
@@ -115,7 +118,7 @@
 	switch {
 	case s.tokens >= 1:
 		s.tokens--
-	case s.allowance >= 1 && s.remaining-l.unreported(now, team) >= 1:
+	case s.allowance >= 1 && s.remaining-s.peers.unreported(now) >= 1:
 		s.allowance--
 	default:
 		perSecond := max(s.share*s.rate.PerSecond, minDemand)
@@ -126,17 +129,6 @@
 	return true, 0
 }
 
-// unreported estimates the number of requests that peers have admitted since their last heartbeats.
-func (l *Limiter) unreported(now time.Time, team ident.Team) float64 {
-	sum := 0.0
-	for _, p := range l.peers {
-		if silence := now.Sub(p.reportedAt); silence <= l.TakeoverTimeout {
-			sum += p.usage[team].Demand * silence.Seconds()
-		}
-	}
-	return sum
-}
-
 // Refund returns the token of a request that was not sent to any backend server.
 func (l *Limiter) Refund(team ident.Team) {
 	l.mu.Lock()
@@ -158,17 +150,11 @@
 
 // activeHosts returns the number of hosts among which the remaining burst is divided. For a team with a small burst, these
 // are only the hosts with demand. For any other team, and while this host has no demand, these are all hosts.
-func (l *Limiter) activeHosts(team ident.Team, s *teamState, hosts float64) float64 {
+func (l *Limiter) activeHosts(s *teamState, hosts float64) float64 {
 	if s.confirmedDemand < minActiveDemand || !l.hasSmallBurst(s) {
 		return hosts
 	}
-	n := 1.0
-	for _, p := range l.peers {
-		if p.usage[team].Demand >= minActiveDemand {
-			n++
-		}
-	}
-	return n
+	return 1 + s.peers.active
 }
 
 // ReportUsage updates the demand and returns the usage of each team for the next heartbeat.
@@ -190,12 +176,11 @@
 // updateAllowances computes how much of each remaining burst this host may use until the next heartbeat.
 func (l *Limiter) updateAllowances(now time.Time) {
 	hosts := l.hostCount()
-	isolated, _ := l.reachability(now)
-	for team, s := range l.teams {
+	for _, s := range l.teams {
 		s.allowance = 0
-		if !isolated {
-			remaining := max(0, s.remaining-l.unreported(now, team))
-			n := l.activeHosts(team, s, hosts)
+		if !l.isolated {
+			remaining := max(0, s.remaining-s.peers.unreported(now))
+			n := l.activeHosts(s, hosts)
 			s.allowance = remainingBurstShare*remaining*(0.5/n+0.5*s.share) + slackShare*l.Slack/n
 		}
 	}
--- a/core/quota/shares.go
+++ b/core/quota/shares.go
@@ -13,6 +13,7 @@
 	listedAt   time.Time // when it was last listed as a lease holder
 	reportedAt time.Time // when its last usage report arrived
 	down       bool      // it is no longer listed as a lease holder
+	counted    bool      // its demand is included in peerSums
 }
 
 // updateDemand updates the demand average with the requests that have arrived since the last update.
@@ -60,6 +61,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peer(host)
+	l.subtractUsage(p)
 	for team, u := range usage {
 		s, prev := l.teams[team], p.usage[team].Admitted
 		if s == nil || prev == 0 {
@@ -71,8 +73,11 @@
 		s.refill(now)
 		s.remaining -= u.Admitted - prev
 	}
+	before := p.usage
 	p.usage, p.reportedAt, p.down = usage, now, false
-	l.updateShares(now)
+	l.addUsage(p, true)
+	l.updateTeamShares(now, before)
+	l.updateTeamShares(now, usage)
 }
 
 // RemovePeer removes a host that has stopped for good and admits no more requests.
@@ -83,22 +88,37 @@
 	l.updateShares(now)
 }
 
-// updateShares computes this host's share of each team's rate.
+// updateShares computes this host's share of each team's rate from all that is known of the peers.
 func (l *Limiter) updateShares(now time.Time) {
 	l.removeLostPeers(now)
+	l.isolated, l.silent = l.reachability(now)
+	l.countPeers(now)
 	hosts := l.hostCount()
-	isolated, silent := l.reachability(now)
-	distributable := 1 - idleShare - silent*floorShare/hosts
-	for team, s := range l.teams {
-		s.refill(now)
-		s.share = floorShare / hosts
-		if !isolated {
-			s.share = idleShare/hosts + distributable*l.demandShare(now, team, s, hosts)
+	for _, s := range l.teams {
+		l.updateShare(now, s, hosts)
+	}
+}
+
+// updateTeamShares computes this host's share of the rates of the given teams, whose usage at a peer has changed.
+func (l *Limiter) updateTeamShares(now time.Time, teams map[ident.Team]Usage) {
+	hosts := l.hostCount()
+	for team := range teams {
+		if s := l.teams[team]; s != nil {
+			l.updateShare(now, s, hosts)
 		}
-		s.tokens = min(s.tokens, max(1, s.share*localBurstShare*s.rate.Burst))
 	}
 }
 
+func (l *Limiter) updateShare(now time.Time, s *teamState, hosts float64) {
+	s.refill(now)
+	s.share = floorShare / hosts
+	if !l.isolated {
+		distributable := 1 - idleShare - l.silent*floorShare/hosts
+		s.share = idleShare/hosts + distributable*s.demandShare(hosts)
+	}
+	s.tokens = min(s.tokens, max(1, s.share*localBurstShare*s.rate.Burst))
+}
+
 // hostCount returns the number of hosts among which the rates are divided.
 func (l *Limiter) hostCount() float64 {
 	hosts := float64(len(l.peers) + 1)
@@ -137,13 +157,8 @@
 }
 
 // demandShare returns this host's share of the demand of all hosts, or an equal share when there is no demand.
-func (l *Limiter) demandShare(now time.Time, team ident.Team, s *teamState, hosts float64) float64 {
-	sum := s.confirmedDemand
-	for _, p := range l.peers {
-		if now.Sub(p.reportedAt) <= l.TakeoverTimeout {
-			sum += p.usage[team].Demand
-		}
-	}
+func (s *teamState) demandShare(hosts float64) float64 {
+	sum := s.confirmedDemand + s.peers.demand
 	if sum < minDemand {
 		return 1 / hosts
 	}
