Link hosts of a large fleet through relays

Cause: every host was linked with every other and sent each a heartbeat of every team's use each 500 ms.

Change: above 24 hosts, two or more hosts of each availability zone are relays (core/relay, by rendezvous hashing over the known hosts). Relays are linked with all relays, other hosts with the relays of their region. A host sends what is meant for all to one relay, which passes it on in batches each 200 ms; unchanged heartbeats shrink to an id. Relays count the requests of small teams for their region. Heartbeats are numbered, so that a late copy does not bring a dead host back, and a host that was paused drops what has queued up meanwhile. A heartbeat names only the teams that were counted.

Ruled out: gossip with partial views (a host needs all others' readiness within 2 s), the store as the exchange (each call is priced, and the store may be out).

--- a/core/quota/encoding.go
+++ b/core/quota/encoding.go
@@ -27,27 +27,34 @@
 	return names, int(hash.Sum32())
 }
 
-// Encode returns two numbers per team, in the order of names: the demand in hundredths of a request per second and the
-// number of admitted requests.
+// numbersPerTeam is the number of numbers that Encode returns for a team with usage.
+const numbersPerTeam = 3
+
+// Encode returns three numbers for each team with usage: the team's index in names, the demand in hundredths of a request
+// per second and the number of admitted requests.
 func Encode(names []ident.Team, usage map[ident.Team]Usage) []int {
-	list := make([]int, 0, 2*len(names))
-	for _, name := range names {
+	var list []int
+	for i, name := range names {
 		u := usage[name]
-		list = append(list, int(math.Round(u.Demand*demandScale)), int(u.Admitted))
+		demand, admitted := int(math.Round(u.Demand*demandScale)), int(u.Admitted)
+		if demand > 0 || admitted > 0 {
+			list = append(list, i, demand, admitted)
+		}
 	}
 	return list
 }
 
-// Decode decodes a list made by Encode. A list of the wrong length yields no usage, and teams with zero usage are omitted.
+// Decode decodes a list made by Encode. A list of the wrong length yields no usage, and entries that name no team or have
+// negative numbers are omitted.
 func Decode(names []ident.Team, list []int) map[ident.Team]Usage {
-	usage := make(map[ident.Team]Usage, len(names))
-	if len(list) != 2*len(names) {
+	usage := make(map[ident.Team]Usage, len(list)/numbersPerTeam)
+	if len(list)%numbersPerTeam != 0 {
 		return usage
 	}
-	for i, name := range names {
-		demand, admitted := float64(list[2*i])/demandScale, float64(list[2*i+1])
-		if demand > 0 || admitted > 0 {
-			usage[name] = Usage{Demand: demand, Admitted: admitted}
+	for entry := range slices.Chunk(list, numbersPerTeam) {
+		index, demand, admitted := entry[0], entry[1], entry[2]
+		if index >= 0 && index < len(names) && demand >= 0 && admitted >= 0 {
+			usage[names[index]] = Usage{Demand: float64(demand) / demandScale, Admitted: float64(admitted)}
 		}
 	}
 	return usage
--- a/core/quota/shares.go
+++ b/core/quota/shares.go
@@ -80,6 +80,19 @@
 	l.updateTeamShares(now, usage)
 }
 
+// RecordPeerAlive records that a peer is alive and that its usage has not changed since its last report.
+func (l *Limiter) RecordPeerAlive(now time.Time, host ident.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[host]
+	if p == nil || p.reportedAt.IsZero() {
+		return
+	}
+	l.subtractUsage(p)
+	p.reportedAt, p.down = now, false
+	l.addUsage(p, true)
+}
+
 // RemovePeer removes a host that has stopped for good and admits no more requests.
 func (l *Limiter) RemovePeer(now time.Time, host ident.Host) {
 	l.mu.Lock()
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -113,13 +113,16 @@
 	// Store revision up to which the host has read all changes.
 	Revision int `json:"revision" cbor:"revision"`
 
+	// Number of this heartbeat among those of the host's process.
+	Sequence int `json:"sequence" cbor:"sequence"`
+
 	// Checksum of the ordered names of all teams.
 	Teams int `json:"teams" cbor:"teams"`
 
-	// For each team in order, two numbers: the demand at the host, in hundredths of a
-	// request per second, and the number of requests that it has admitted since its
-	// start.
-	Uses []int `json:"uses,omitempty,omitzero" cbor:"uses,omitempty"`
+	// Three numbers for each team that the host has counted requests of: the team's
+	// index in order, the demand at the host, in hundredths of a request per second,
+	// and the number of requests that it has admitted since its start.
+	Usage []int `json:"usage,omitempty,omitzero" cbor:"usage,omitempty"`
 
 	// Version of the configuration in force at the host.
 	Version int `json:"version" cbor:"version"`
@@ -215,6 +218,9 @@
 	// RecordAnswer corresponds to the JSON schema field "record-answer".
 	RecordAnswer *RecordAnswer `json:"record-answer,omitempty,omitzero" cbor:"record-answer,omitempty"`
 
+	// RelayBatch corresponds to the JSON schema field "relay-batch".
+	RelayBatch *RelayBatch `json:"relay-batch,omitempty,omitzero" cbor:"relay-batch,omitempty"`
+
 	// Sequence number of the frame within the incarnation.
 	Sequence int `json:"sequence" cbor:"sequence"`
 
@@ -223,6 +229,9 @@
 
 	// Trip corresponds to the JSON schema field "trip".
 	Trip *Trip `json:"trip,omitempty,omitzero" cbor:"trip,omitempty"`
+
+	// Uplink corresponds to the JSON schema field "uplink".
+	Uplink *Relayed `json:"uplink,omitempty,omitzero" cbor:"uplink,omitempty"`
 }
 
 // A removed host that stored records of runs; the records are lost.
@@ -540,6 +549,43 @@
 	Rate float64 `json:"rate" cbor:"rate"`
 }
 
+// What a relay passes on to the hosts linked to it.
+type RelayBatch struct {
+	// Ids of the hosts whose heartbeats have arrived unchanged, apart from their
+	// sequence and revision.
+	Alive []int `json:"alive" cbor:"alive"`
+
+	// Changed heartbeats and other messages, in the order of their arrival.
+	Entries []Relayed `json:"entries" cbor:"entries"`
+
+	// True if the receiver is to pass the batch on to the hosts that send through it.
+	Forward bool `json:"forward" cbor:"forward"`
+}
+
+// What a host sends to all hosts, on its way through relays.
+type Relayed struct {
+	// EdgeHeartbeat corresponds to the JSON schema field "edge-heartbeat".
+	EdgeHeartbeat *EdgeHeartbeat `json:"edge-heartbeat,omitempty,omitzero" cbor:"edge-heartbeat,omitempty"`
+
+	// Request outcomes since the last heartbeat.
+	Evidence []Evidence `json:"evidence,omitempty,omitzero" cbor:"evidence,omitempty"`
+
+	// Hello corresponds to the JSON schema field "hello".
+	Hello *Hello `json:"hello,omitempty,omitzero" cbor:"hello,omitempty"`
+
+	// Name of the host that it comes from.
+	Host string `json:"host" cbor:"host"`
+
+	// Incarnation of that host: the start number of its process.
+	Incarnation int `json:"incarnation" cbor:"incarnation"`
+
+	// Strike corresponds to the JSON schema field "strike".
+	Strike *Strike `json:"strike,omitempty,omitzero" cbor:"strike,omitempty"`
+
+	// Trip corresponds to the JSON schema field "trip".
+	Trip *Trip `json:"trip,omitempty,omitzero" cbor:"trip,omitempty"`
+}
+
 // The removal of a voter from the seat table.
 type Removal struct {
 	// Seat table generation of the removal.
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -151,7 +151,7 @@
 	balancer.Update(entries, func(ident.Service) float64 { return 0 })
 	f.edge = edge.New(edge.Deps{
 		Protocol: protocol, Log: slog.New(slog.DiscardHandler), Table: func() *table.Table { return f.table }, Balancer: balancer,
-		Pool: conns.New(protocol.RequestID, 1<<20), Rates: rates.New(rates.Deps{Self: "a", Quota: f.quota, RegionPeers: func() []ident.Host { return nil }, Now: time.Now}), Poison: poison.New(), RetryRatio: 1, RetrySlack: 100,
+		Pool: conns.New(protocol.RequestID, 1<<20), Rates: rates.New(rates.Deps{Self: "a", Quota: f.quota, Counters: func() []ident.Host { return nil }, Now: time.Now}), Poison: poison.New(), RetryRatio: 1, RetrySlack: 100,
 		HostCount: func() int { return 1 }, Version: func(ident.Service) ident.Version { return "" },
 		RecordOutcome:   func(roster.Server, ident.Route, bool, float64) {},
 		BroadcastStrike: func(poison.Fingerprint, ident.BackendServer) {}, Leaving: func() bool { return false },
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -39,7 +39,8 @@
 }
 
 // Mesh dials and maintains one link to each peer and accepts the links that peers dial.
-// A host sends calls over the links that it dialled and answers calls over the links that it accepted.
+// A host sends calls over the links that it dialled and answers calls over the links that it accepted. Frames without an
+// answer may be sent over both.
 type Mesh struct {
 	deps       Deps
 	ctx        context.Context
@@ -50,8 +51,9 @@
 	mu             sync.Mutex
 	peers          map[ident.Host]*peer
 	accepted       map[*conn]bool
-	maxIncarnation map[ident.Host]int  // highest incarnation received in a Hello
-	blocked        map[ident.Host]bool // for failure tests
+	acceptedFrom   map[ident.Host]*conn // the latest accepted link of each host
+	maxIncarnation map[ident.Host]int   // highest incarnation received in a Hello
+	blocked        map[ident.Host]bool  // for failure tests
 }
 
 // peer is a host that this host dials.
@@ -66,7 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Mesh{
 		deps: deps, ctx: ctx, cancel: cancel, peers: map[ident.Host]*peer{},
-		accepted: map[*conn]bool{}, maxIncarnation: map[ident.Host]int{}, blocked: map[ident.Host]bool{},
+		accepted: map[*conn]bool{}, acceptedFrom: map[ident.Host]*conn{}, maxIncarnation: map[ident.Host]int{}, blocked: map[ident.Host]bool{},
 	}
 }
 
@@ -218,7 +220,7 @@
 	if m.deps.OnOpen != nil {
 		go m.deps.OnOpen(c.peer)
 	}
-	c.readLoop(ctx, func(wire.Frame) {})
+	c.readLoop(ctx, func(f wire.Frame) { m.handleFrame(c, f) })
 	m.mu.Lock()
 	p.conn = nil
 	m.mu.Unlock()
@@ -256,11 +258,16 @@
 func (m *Mesh) setAccepted(c *conn, open bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	host := ident.Host(c.peer.Host)
 	if open {
 		m.accepted[c] = true
+		m.acceptedFrom[host] = c
 		return
 	}
 	delete(m.accepted, c)
+	if m.acceptedFrom[host] == c {
+		delete(m.acceptedFrom, host)
+	}
 }
 
 // handleFrame handles one frame of an accepted link. Each call is handled in its own goroutine. Other frames are
@@ -321,6 +328,22 @@
 	return c.send(f)
 }
 
+// Reply queues a frame for the host over a link that the host has dialled, without waiting for an answer. It returns
+// ErrNoLink, ErrClosed or ErrQueueFull.
+func (m *Mesh) Reply(host ident.Host, f wire.Frame) error {
+	m.mu.Lock()
+	c := m.acceptedFrom[host]
+	if m.blocked[host] {
+		c = nil
+	}
+	m.mu.Unlock()
+	if c == nil {
+		return ErrNoLink
+	}
+	m.framesSent.Add(1)
+	return c.send(f)
+}
+
 // Broadcast queues a frame for every host with an open link and returns the number of hosts it was queued for.
 func (m *Mesh) Broadcast(f wire.Frame) int {
 	sent := 0
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -22,7 +22,7 @@
 	names, sum := n.quota.TeamNames()
 	h := wire.EdgeHeartbeat{
 		Ready: n.ready(), Leaving: n.leaving.Load(), Reads: !n.watch.StoreLost(), Revision: int(n.watch.Revision()),
-		Teams: sum, Uses: quota.Encode(names, n.quota.ReportUsage(time.Now())),
+		Teams: sum, Usage: quota.Encode(names, n.quota.ReportUsage(time.Now())),
 	}
 	if t := n.watch.Table(); t != nil {
 		h.Version = int(t.Version)
@@ -45,29 +45,31 @@
 	if h.Teams != sum {
 		names = nil
 	}
-	n.quota.RecordPeerUsage(time.Now(), host, quota.Decode(names, h.Uses))
+	n.quota.RecordPeerUsage(time.Now(), host, quota.Decode(names, h.Usage))
 }
 
 // handleFrame processes a frame from a peer and returns the response frame, nil for none.
 func (n *Node) handleFrame(_ context.Context, from wire.Hello, f wire.Frame) *wire.Frame {
+	n.peers.Receive(time.Now(), from, f)
+	return n.rates.Handle(f)
+}
+
+// handleMessage processes what another host has sent to all hosts.
+func (n *Node) handleMessage(m wire.Relayed) {
 	now := time.Now()
-	if f.EdgeHeartbeat != nil {
-		n.peers.RecordHeartbeat(now, from, *f.EdgeHeartbeat)
-	}
-	if len(f.Evidence) > 0 {
-		n.evidence.Merge(now, f.Evidence)
+	if len(m.Evidence) > 0 {
+		n.evidence.Merge(now, m.Evidence)
 	}
-	if f.Trip != nil {
-		n.rolls.AddFault(*f.Trip)
+	if m.Trip != nil {
+		n.rolls.AddFault(*m.Trip)
 	}
-	if f.Strike != nil {
-		n.poison.Strike(now, poison.Fingerprint(f.Strike.Fingerprint), ident.BackendServer(f.Strike.BackendServer))
+	if m.Strike != nil {
+		n.poison.Strike(now, poison.Fingerprint(m.Strike.Fingerprint), ident.BackendServer(m.Strike.BackendServer))
 	}
-	return n.rates.Handle(f)
 }
 
 func (n *Node) broadcastStrike(p poison.Fingerprint, server ident.BackendServer) {
-	n.mesh.Broadcast(wire.Frame{Strike: &wire.Strike{Fingerprint: string(p), BackendServer: string(server)}})
+	n.peers.Broadcast(wire.Frame{Strike: &wire.Strike{Fingerprint: string(p), BackendServer: string(server)}})
 }
 
 func (n *Node) recordOutcome(s roster.Server, route ident.Route, failed bool, ratio float64) {
@@ -95,6 +97,12 @@
 	return elect.Pick(subject, append(peers, self)) == self
 }
 
+// countingHosts returns the hosts of this host's region that count the requests of small teams: its active relays, which
+// all hosts of the region are linked with.
+func (n *Node) countingHosts() []ident.Host {
+	return n.peers.Relays(time.Now(), ident.Region(n.settings.Region))
+}
+
 // regionPeers returns the active peers in this host's region.
 func (n *Node) regionPeers() []ident.Host {
 	return n.peers.Hosts(time.Now(), func(r ident.Region) bool { return string(r) == n.settings.Region })
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -118,21 +118,26 @@
 	})
 	n.mesh = link.New(link.Deps{
 		Hello: n.hello, Handle: n.handleFrame, Scheme: "ws",
+		OnOpen:     func(to wire.Hello) { n.peers.OnLinkOpen(to) },
 		HTTPClient: func() *http.Client { return http.DefaultClient },
 	})
 	n.peers = peer.New(peer.Deps{
-		Host: self, Self: n.storeEntry(), Store: n.platform.Store, Mesh: n.mesh, Watch: n.watch, Log: n.log, Seeds: s.Seeds,
+		Host: self, Self: n.storeEntry(), Store: n.platform.Store, Watch: n.watch, Log: n.log, Seeds: s.Seeds,
+		LeaseHolders: n.watch.Hosts, StoreLost: n.watch.StoreLost,
+		SetLinks: n.mesh.SetPeers, Linked: n.mesh.LinkedHosts, Send: n.mesh.Send, Reply: n.mesh.Reply,
 		Heartbeat: n.heartbeat, Evidence: n.evidence.TakePending,
 		OnLeaseHolders: func(hosts []ident.Host) { n.quota.SetPeers(time.Now(), hosts) },
 		OnHeartbeat:    n.recordPeerUsage,
 		OnLeave:        func(host ident.Host) { n.quota.RemovePeer(time.Now(), host) },
+		OnAlive:        func(host ident.Host) { n.quota.RecordPeerAlive(time.Now(), host) },
+		OnMessage:      n.handleMessage,
 	})
 	n.rolls = roll.New(roll.Deps{
 		Store: n.platform.Store, Watch: n.watch, Log: n.log, Gate: n.gate, Evidence: n.evidence, Encode: n.platform.Encode,
-		IsLeader: n.leadsMove, Converged: n.otherVersionsDrained, Broadcast: n.mesh.Broadcast,
+		IsLeader: n.leadsMove, Converged: n.otherVersionsDrained, Broadcast: n.peers.Broadcast,
 	})
 	n.rates = rates.New(rates.Deps{
-		Self: self, Quota: n.quota, RegionPeers: n.regionPeers, Call: n.mesh.Call, Cast: n.mesh.Send, Now: time.Now, Log: n.log,
+		Self: self, Quota: n.quota, Counters: n.countingHosts, Call: n.mesh.Call, Cast: n.mesh.Send, Now: time.Now, Log: n.log,
 	})
 	n.balancer = place.New(place.Settings{
 		Location: place.Location{Zone: ident.AvailabilityZone(s.Zone), Region: ident.Region(s.Region)},
--- a/io/peer/copy.go
+++ b/io/peer/copy.go
@@ -63,7 +63,7 @@
 
 // fetchMissing copies the store from a peer while this host cannot read the store.
 func (p *Peers) fetchMissing(ctx context.Context) {
-	if !p.deps.Watch.StoreLost() {
+	if !p.deps.StoreLost() {
 		return
 	}
 	address, ok := p.copySource(time.Now())
--- /dev/null
+++ b/io/peer/fleet_test.go
@@ -0,0 +1,383 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayshift/core/ident"
+	"jayshift/core/relay"
+	"jayshift/core/wire"
+	"jayshift/io/link"
+	"jayshift/io/peer"
+	"jayshift/io/store"
+)
+
+const (
+	zoneCount   = 9
+	regionCount = 3
+	sameZone    = time.Millisecond
+	otherRegion = 55 * time.Millisecond
+	settleTime  = 5 * time.Second
+)
+
+// fleet is a fleet of hosts in virtual time. Its links have latencies; frames to dead, paused and cut hosts are lost, or
+// held until the host is resumed. A paused host is held up where it next sends.
+type fleet struct {
+	mu      sync.Mutex
+	resumed *sync.Cond // signaled when a paused host goes on
+	hosts   map[ident.Host]*host
+	entry   map[ident.Host]wire.Edge
+}
+
+type host struct {
+	fleet  *fleet
+	name   ident.Host
+	edge   wire.Edge
+	peers  *peer.Peers
+	links  map[ident.Host]bool
+	dead   bool // its links are open until deadAt has passed for unlinkTime
+	paused bool
+	held   []func() // frames that arrived while it was paused
+	cancel context.CancelFunc
+
+	sent, received, entries int // frames sent and received, and entries and ids in the received ones
+	messages                int // strikes received
+}
+
+// newFleet starts n hosts.
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{hosts: map[ident.Host]*host{}, entry: map[ident.Host]wire.Edge{}}
+	f.resumed = sync.NewCond(&f.mu)
+	for i := range n {
+		zone := i % zoneCount
+		name := ident.Host(fmt.Sprintf("h%d", i))
+		f.entry[name] = wire.Edge{
+			AvailabilityZone: fmt.Sprintf("z%d", zone), Region: fmt.Sprintf("r%d", zone%regionCount), Incarnation: 1,
+			LinkAddress: string(name), CallerAddress: string(name),
+		}
+	}
+	for name := range f.entry {
+		f.start(t, name)
+	}
+	return f
+}
+
+func (f *fleet) start(t *testing.T, name ident.Host) {
+	ctx, cancel := context.WithCancel(t.Context())
+	h := &host{fleet: f, name: name, edge: f.entry[name], links: map[ident.Host]bool{}, cancel: cancel}
+	h.peers = peer.New(peer.Deps{
+		Host: name, Self: h.edge, Log: slog.New(slog.DiscardHandler),
+		Store: &store.Store{
+			Grant:     func(context.Context, int64) (int64, error) { return 1, nil },
+			KeepAlive: func(context.Context, int64) error { return nil },
+			Txn: func(context.Context, []store.Compare, []store.Write, []string) (int64, []store.KV, error) {
+				return 1, nil, nil
+			},
+		},
+		LeaseHolders: f.leaseHolders, StoreLost: func() bool { return false },
+		SetLinks: h.setLinks, Linked: h.linked,
+		Send:      func(to ident.Host, m wire.Frame) error { return h.send(to, m, true) },
+		Reply:     func(to ident.Host, m wire.Frame) error { return h.send(to, m, false) },
+		Heartbeat: func() wire.EdgeHeartbeat { return wire.EdgeHeartbeat{Ready: true} },
+		Evidence:  func() []wire.Evidence { return nil },
+		OnMessage: func(m wire.Relayed) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if m.Strike != nil {
+				h.messages++
+			}
+		},
+		OnLeaseHolders: func([]ident.Host) {}, OnHeartbeat: func(ident.Host, wire.EdgeHeartbeat) {},
+		OnLeave: func(ident.Host) {}, OnAlive: func(ident.Host) {},
+	})
+	f.mu.Lock()
+	f.hosts[name] = h
+	f.mu.Unlock()
+	go h.peers.Run(ctx)
+}
+
+func (f *fleet) leaseHolders() map[ident.Host]wire.Edge { return f.entry }
+
+func (h *host) hello() wire.Hello {
+	return wire.Hello{
+		Host: string(h.name), AvailabilityZone: h.edge.AvailabilityZone, Region: h.edge.Region, Incarnation: h.edge.Incarnation,
+		LinkAddress: h.edge.LinkAddress, CallerAddress: h.edge.CallerAddress,
+	}
+}
+
+func (h *host) setLinks(addresses map[ident.Host]string) {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	for name := range addresses {
+		if !h.links[name] {
+			h.links[name] = true
+			time.AfterFunc(otherRegion, func() { h.peers.OnLinkOpen(h.fleet.hosts[name].hello()) })
+		}
+	}
+	for name := range h.links {
+		if _, ok := addresses[name]; !ok {
+			delete(h.links, name)
+		}
+	}
+}
+
+func (h *host) linked() []ident.Host {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	var list []ident.Host
+	for name := range h.links {
+		list = append(list, name)
+	}
+	return list
+}
+
+// send delivers a frame over a link that this host, or the other one, has opened.
+func (h *host) send(to ident.Host, m wire.Frame, dialled bool) error {
+	f := h.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	target := f.hosts[to]
+	for h.paused {
+		f.resumed.Wait()
+	}
+	if h.dead || target == nil || dialled && !h.links[to] || !dialled && !target.links[h.name] {
+		return link.ErrNoLink
+	}
+	h.sent++
+	delay := sameZone
+	if h.edge.Region != target.edge.Region {
+		delay = otherRegion
+	}
+	time.AfterFunc(delay, func() { target.receive(h.hello(), m) })
+	return nil
+}
+
+func (h *host) receive(from wire.Hello, m wire.Frame) {
+	f := h.fleet
+	f.mu.Lock()
+	if h.dead {
+		f.mu.Unlock()
+		return
+	}
+	if h.paused {
+		h.held = append(h.held, func() { h.receive(from, m) })
+		f.mu.Unlock()
+		return
+	}
+	h.received++
+	if b := m.RelayBatch; b != nil {
+		h.entries += len(b.Entries) + len(b.Alive)
+	}
+	f.mu.Unlock()
+	h.peers.Receive(time.Now(), from, m)
+}
+
+// kill ends a host without a word; its links stay open, as after a loss of power.
+func (f *fleet) kill(name ident.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[name].dead = true
+	f.hosts[name].cancel()
+}
+
+// relays returns the hosts that are relays.
+func (f *fleet) relays() []ident.Host {
+	var all []relay.Host
+	for name, e := range f.entry {
+		all = append(all, relay.Host{Name: name, Zone: ident.AvailabilityZone(e.AvailabilityZone), Region: ident.Region(e.Region)})
+	}
+	var list []ident.Host
+	for _, h := range all {
+		if relay.New(h, all).IsRelay {
+			list = append(list, h.Name)
+		}
+	}
+	return list
+}
+
+// mostSilent returns the largest number of live hosts that a live host does not count as active.
+func (f *fleet) mostSilent() int {
+	alive, most := 0, 0
+	for _, h := range f.hosts {
+		if !h.dead {
+			alive++
+		}
+	}
+	for _, h := range f.hosts {
+		if h.dead {
+			continue
+		}
+		active := 0
+		for _, p := range h.peers.Active(time.Now()) {
+			if !f.hosts[p.Host].dead {
+				active++
+			}
+		}
+		most = max(most, alive-1-active)
+	}
+	return most
+}
+
+// TestCostPerHost checks that all hosts hear of each other, and how many frames a host sends and receives at rest: at 300
+// hosts at most one and a half times as many as at 30.
+func TestCostPerHost(t *testing.T) {
+	const maxGrowth = 1.5
+	frames := map[int]float64{}
+	for _, n := range []int{30, 100, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, n)
+			time.Sleep(settleTime)
+			is.Equal(f.mostSilent(), 0)
+			sent, received, entries, most := 0, 0, 0, 0
+			before := map[ident.Host]int{}
+			for name, h := range f.hosts {
+				before[name] = h.sent + h.received
+				sent, received, entries = sent-h.sent, received-h.received, entries-h.entries
+			}
+			const seconds = 10
+			time.Sleep(seconds * time.Second)
+			for name, h := range f.hosts {
+				most = max(most, h.sent+h.received-before[name])
+				sent, received, entries = sent+h.sent, received+h.received, entries+h.entries
+			}
+			perHost := seconds * float64(n)
+			frames[n] = float64(sent+received) / perHost
+			t.Logf("%d hosts: a host sends %.1f and receives %.1f frames a second with %.1f entries; the busiest sends and receives %.1f",
+				n, float64(sent)/perHost, float64(received)/perHost, float64(entries)/perHost, float64(most)/seconds)
+			for _, h := range f.hosts {
+				h.cancel()
+			}
+		})
+	}
+	if frames[300] > maxGrowth*frames[30] {
+		t.Errorf("%.1f frames a second and host at 300 hosts, %.1f at 30", frames[300], frames[30])
+	}
+}
+
+// TestLostRelay kills a relay and then a whole zone: within two seconds all hosts hear of each other again.
+func TestLostRelay(t *testing.T) {
+	const replaceTime = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 100)
+		time.Sleep(settleTime)
+		f.kill(f.relays()[0])
+		time.Sleep(replaceTime)
+		is.Equal(f.mostSilent(), 0)
+		for name, e := range f.entry {
+			if e.AvailabilityZone == "z4" {
+				f.kill(name)
+			}
+		}
+		time.Sleep(replaceTime)
+		is.Equal(f.mostSilent(), 0)
+		for _, h := range f.hosts {
+			h.cancel()
+		}
+	})
+}
+
+// TestStrikeReachesAll checks that a message of a host that is no relay reaches every host once, without waiting for a
+// heartbeat.
+func TestStrikeReachesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 100)
+		time.Sleep(settleTime)
+		relays := map[ident.Host]bool{}
+		for _, name := range f.relays() {
+			relays[name] = true
+		}
+		var sender *host
+		for name, h := range f.hosts {
+			if !relays[name] {
+				sender = h
+			}
+		}
+		sender.peers.Broadcast(wire.Frame{Strike: &wire.Strike{Fingerprint: "f", BackendServer: "b"}})
+		time.Sleep(150 * time.Millisecond)
+		for name, h := range f.hosts {
+			if name != sender.name {
+				is.Equal(h.messages, 1)
+			}
+		}
+		for _, h := range f.hosts {
+			h.cancel()
+		}
+	})
+}
+
+// TestPausedRelay pauses a relay while one of the hosts that send through it dies. When the relay goes on, what it then
+// reads and sends must not make the dead host look alive.
+func TestPausedRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 100)
+		time.Sleep(settleTime)
+		for _, name := range f.relays() {
+			paused := f.hosts[name]
+			f.mu.Lock()
+			paused.paused = true
+			f.mu.Unlock()
+			victim := f.anyMember(paused.edge.AvailabilityZone)
+			time.Sleep(300 * time.Millisecond)
+			f.kill(victim)
+			time.Sleep(4 * time.Second)
+			is.Equal(f.hearing(victim), 0)
+			f.mu.Lock()
+			paused.paused = false
+			held := paused.held
+			paused.held = nil
+			f.resumed.Broadcast()
+			f.mu.Unlock()
+			for _, receive := range held {
+				receive()
+			}
+			for range 20 {
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(f.hearing(victim), 0) // nobody takes the dead host for alive
+			}
+		}
+		for _, h := range f.hosts {
+			h.cancel()
+		}
+	})
+}
+
+// anyMember returns a live host of the zone that is no relay.
+func (f *fleet) anyMember(zone string) ident.Host {
+	relays := map[ident.Host]bool{}
+	for _, name := range f.relays() {
+		relays[name] = true
+	}
+	for name, h := range f.hosts {
+		if h.edge.AvailabilityZone == zone && !relays[name] && !h.dead {
+			return name
+		}
+	}
+	return ""
+}
+
+// hearing returns the number of live hosts that count the host as active.
+func (f *fleet) hearing(name ident.Host) int {
+	n := 0
+	for _, h := range f.hosts {
+		if h.dead || h.paused {
+			continue
+		}
+		for _, p := range h.peers.Active(time.Now()) {
+			if p.Host == name {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/io/peer/list.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jayshift/core/ident"
+)
+
+// List returns all known peers, including those that are not active, ordered by name.
+func (p *Peers) List() []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]Peer, 0, len(p.peers))
+	for _, peer := range p.peers {
+		list = append(list, *peer)
+	}
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.Host, b.Host) })
+	return list
+}
+
+// Count returns the number of known peers, including those that are not active.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.peers)
+}
+
+// Hosts returns the names of the active peers in matching regions, in no particular order.
+func (p *Peers) Hosts(now time.Time, match func(ident.Region) bool) []ident.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var hosts []ident.Host
+	for host, peer := range p.peers {
+		if peer.active(now) && match(peer.Region) {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// Active returns the active peers, ordered by name: those with a fresh heartbeat that are not leaving.
+func (p *Peers) Active(now time.Time) []Peer {
+	var list []Peer
+	for _, peer := range p.List() {
+		if peer.active(now) {
+			list = append(list, peer)
+		}
+	}
+	return list
+}
+
+// Relays returns the active relays of a region, which may include this host, in no particular order.
+func (p *Peers) Relays(now time.Time, region ident.Region) []ident.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var hosts []ident.Host
+	if p.plan.IsRelay && region == ident.Region(p.deps.Self.Region) && !p.leaving.Load() {
+		hosts = append(hosts, p.deps.Host)
+	}
+	for _, host := range p.plan.Links {
+		if peer := p.peers[host]; peer != nil && peer.Region == region && peer.active(now) {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -4,12 +4,10 @@
 package peer
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,8 +15,8 @@
 	"github.com/ansel1/merry/v2"
 
 	"jayshift/core/ident"
+	"jayshift/core/relay"
 	"jayshift/core/wire"
-	"jayshift/io/link"
 	"jayshift/io/store"
 	"jayshift/io/ticker"
 	"jayshift/io/watch"
@@ -27,8 +25,7 @@
 const (
 	leaseSeconds           = 3
 	renewalInterval        = 1 * time.Second
-	registrationRetryDelay = 300 * time.Millisecond // after a failure to register the host or to renew its lease
-	heartbeatInterval      = 500 * time.Millisecond
+	registrationRetryDelay = 300 * time.Millisecond  // after a failure to register the host or to renew its lease
 	heartbeatTimeout       = 1800 * time.Millisecond // age of the last heartbeat after which a peer is not active
 	peerRetention          = 10 * time.Second        // how long a peer without a lease and heartbeats stays known
 	leaveTimeout           = 500 * time.Millisecond  // for revoking the lease
@@ -43,6 +40,8 @@
 	LinkAddress   string // address that peers connect to
 	Heartbeat     wire.EdgeHeartbeat
 	HeartbeatAt   time.Time // when the last heartbeat arrived
+	incarnation   int       // of the process that sent Heartbeat
+	addedAt       time.Time // when this host first knew of it
 	leased        bool
 	leaseLostAt   time.Time // when its lease was found to have ended
 }
@@ -58,11 +57,19 @@
 	Host  ident.Host
 	Self  wire.Edge
 	Store *store.Store
-	Mesh  *link.Mesh
 	Watch *watch.Watch
 	Log   *slog.Logger
 	Seeds []string // link addresses to copy the store from while it is lost and was not loaded before
-	// Heartbeat returns this host's next heartbeat.
+	// LeaseHolders returns the hosts that hold a lease as far as this host knows, StoreLost whether the store is out.
+	LeaseHolders func() map[ident.Host]wire.Edge
+	StoreLost    func() bool
+	// SetLinks sets the hosts to be linked with, with their addresses, and Linked returns those to which a link is open.
+	SetLinks func(map[ident.Host]string)
+	Linked   func() []ident.Host
+	// Send sends a frame over a link that this host has opened, Reply over a link that the other host has opened.
+	Send  func(ident.Host, wire.Frame) error
+	Reply func(ident.Host, wire.Frame) error
+	// Heartbeat returns this host's next heartbeat, without its sequence.
 	Heartbeat func() wire.EdgeHeartbeat
 	// Evidence returns the request outcomes to send with the next heartbeat.
 	Evidence func() []wire.Evidence
@@ -71,6 +78,10 @@
 	OnLeaseHolders func([]ident.Host)
 	OnHeartbeat    func(ident.Host, wire.EdgeHeartbeat)
 	OnLeave        func(ident.Host)
+	// OnAlive is called when a peer's heartbeat has arrived unchanged.
+	OnAlive func(ident.Host)
+	// OnMessage is called with the outcomes, faults and strikes that another host has sent to all hosts.
+	OnMessage func(wire.Relayed)
 }
 
 // Peers maintains the registration of this host and the state of the other hosts. It is safe for concurrent use.
@@ -79,17 +90,29 @@
 	lease   atomic.Int64
 	leaving atomic.Bool
 
-	mu    sync.Mutex
-	peers map[ident.Host]*Peer
+	mu        sync.Mutex
+	peers     map[ident.Host]*Peer
+	hostsByID map[int]ident.Host
+	sequence  int          // of this host's last heartbeat
+	planned   []relay.Host // the hosts that plan was made for
+	plan      relay.Plan
+	uplink    uplink
+	relayed   relayed
 }
 
 // New returns Peers without any known host.
-func New(deps Deps) *Peers { return &Peers{deps: deps, peers: map[ident.Host]*Peer{}} }
+func New(deps Deps) *Peers {
+	return &Peers{
+		deps: deps, peers: map[ident.Host]*Peer{}, hostsByID: map[int]ident.Host{}, plan: relay.Plan{IsRelay: true},
+		uplink: newUplink(), relayed: newRelayed(),
+	}
+}
 
 // Run registers the host in the store, renews its lease, sends heartbeats and fetches copies of the store from peers while
 // the store is lost, until the context ends. It stops renewing the lease when Leave is called.
 func (p *Peers) Run(ctx context.Context) {
 	go p.runEvery(ctx, heartbeatInterval, p.sendHeartbeat)
+	go p.runEvery(ctx, flushInterval, func(context.Context) { p.flush(time.Now()) })
 	go p.runEvery(ctx, copyInterval, p.fetchMissing)
 	for ctx.Err() == nil && !p.leaving.Load() {
 		delay := renewalInterval
@@ -148,126 +171,3 @@
 		}
 	}
 }
-
-// sendHeartbeat refreshes the list of peers and sends a heartbeat to all of them.
-func (p *Peers) sendHeartbeat(context.Context) {
-	p.Refresh(time.Now())
-	heartbeat := p.deps.Heartbeat()
-	p.deps.Mesh.Broadcast(wire.Frame{EdgeHeartbeat: &heartbeat, Evidence: p.deps.Evidence()})
-}
-
-// Refresh updates the peers from the hosts that hold a lease, removes those without a lease or a heartbeat for longer than
-// peerRetention, and opens links to the others.
-func (p *Peers) Refresh(now time.Time) {
-	leased := p.deps.Watch.Hosts()
-	p.mu.Lock()
-	for host, entry := range leased {
-		if host == p.deps.Host {
-			continue
-		}
-		peer := p.getOrAdd(host)
-		peer.update(entry)
-		peer.leased = true
-	}
-	addresses := map[ident.Host]string{}
-	for host, peer := range p.peers {
-		if _, ok := leased[host]; !ok && peer.leased {
-			peer.leased = false
-			peer.leaseLostAt = now
-		}
-		if !peer.leased && now.Sub(peer.HeartbeatAt) > peerRetention && now.Sub(peer.leaseLostAt) > peerRetention {
-			delete(p.peers, host)
-			continue
-		}
-		addresses[host] = peer.LinkAddress
-	}
-	p.mu.Unlock()
-	p.deps.Mesh.SetPeers(addresses)
-	if !p.deps.Watch.StoreLost() {
-		p.deps.OnLeaseHolders(otherHosts(leased, p.deps.Host))
-	}
-}
-
-func otherHosts(leased map[ident.Host]wire.Edge, self ident.Host) []ident.Host {
-	var hosts []ident.Host
-	for host := range leased {
-		if host != self {
-			hosts = append(hosts, host)
-		}
-	}
-	return hosts
-}
-
-// getOrAdd returns the peer of a host, which it adds if it is not known. The caller must hold p.mu.
-func (p *Peers) getOrAdd(host ident.Host) *Peer {
-	peer := p.peers[host]
-	if peer == nil {
-		peer = &Peer{Host: host}
-		p.peers[host] = peer
-	}
-	return peer
-}
-
-func (p *Peer) update(e wire.Edge) {
-	p.Zone, p.Region = ident.AvailabilityZone(e.AvailabilityZone), ident.Region(e.Region)
-	p.CallerAddress, p.LinkAddress = e.CallerAddress, e.LinkAddress
-}
-
-// RecordHeartbeat updates a peer from a heartbeat.
-func (p *Peers) RecordHeartbeat(now time.Time, from wire.Hello, h wire.EdgeHeartbeat) {
-	host := ident.Host(from.Host)
-	p.mu.Lock()
-	peer := p.getOrAdd(host)
-	peer.Zone, peer.Region = ident.AvailabilityZone(from.AvailabilityZone), ident.Region(from.Region)
-	peer.CallerAddress, peer.LinkAddress = from.CallerAddress, from.LinkAddress
-	peer.Heartbeat, peer.HeartbeatAt = h, now
-	p.mu.Unlock()
-	if h.Leaving {
-		p.deps.OnLeave(host)
-		return
-	}
-	p.deps.OnHeartbeat(host, h)
-}
-
-// List returns all known peers, including those that are not active, ordered by name.
-func (p *Peers) List() []Peer {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := make([]Peer, 0, len(p.peers))
-	for _, peer := range p.peers {
-		list = append(list, *peer)
-	}
-	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.Host, b.Host) })
-	return list
-}
-
-// Count returns the number of known peers, including those that are not active.
-func (p *Peers) Count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.peers)
-}
-
-// Hosts returns the names of the active peers in matching regions, in no particular order.
-func (p *Peers) Hosts(now time.Time, match func(ident.Region) bool) []ident.Host {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var hosts []ident.Host
-	for host, peer := range p.peers {
-		if peer.active(now) && match(peer.Region) {
-			hosts = append(hosts, host)
-		}
-	}
-	return hosts
-}
-
-// Active returns the active peers, ordered by name: those with a fresh heartbeat that are not leaving.
-func (p *Peers) Active(now time.Time) []Peer {
-	var list []Peer
-	for _, peer := range p.List() {
-		if peer.active(now) {
-			list = append(list, peer)
-		}
-	}
-	return list
-}
--- a/io/rates/rates.go
+++ b/io/rates/rates.go
@@ -4,6 +4,7 @@
 package rates
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"time"
@@ -26,8 +27,8 @@
 type Deps struct {
 	Self  ident.Host
 	Quota *quota.Limiter
-	// RegionPeers returns the other hosts of this host's region that may be asked.
-	RegionPeers func() []ident.Host
+	// Counters returns the hosts of this host's region that count requests for the region. They may include this host.
+	Counters func() []ident.Host
 	// Call sends a frame to a host and returns the answer. Cast sends a frame without an answer.
 	Call func(ctx context.Context, host ident.Host, f wire.Frame) (wire.Frame, error)
 	Cast func(host ident.Host, f wire.Frame) error
@@ -97,7 +98,7 @@
 	return nil
 }
 
-// countingHost returns the host of this region that counts the team's requests.
+// countingHost returns the host of this region that counts the team's requests, this host if there is none.
 func (l *Limiter) countingHost(team ident.Team) ident.Host {
-	return elect.Pick(string(team), append(l.deps.RegionPeers(), l.deps.Self))
+	return cmp.Or(elect.Pick(string(team), l.deps.Counters()), l.deps.Self)
 }
--- a/io/rates/rates_test.go
+++ b/io/rates/rates_test.go
@@ -63,7 +63,7 @@
 		q.SetPeers(f.now, append(append([]ident.Host{}, all[:i]...), all[i+1:]...))
 		f.quotas = append(f.quotas, q)
 		f.limiters = append(f.limiters, rates.New(rates.Deps{
-			Self: hostName(i), Quota: q, RegionPeers: func() []ident.Host { return f.regionPeers(i) }, Call: f.call, Now: func() time.Time { return f.now },
+			Self: hostName(i), Quota: q, Counters: func() []ident.Host { return append(f.regionPeers(i), hostName(i)) }, Call: f.call, Now: func() time.Time { return f.now },
 			Cast: func(host ident.Host, fr wire.Frame) error {
 				_, err := f.call(context.Background(), host, fr)
 				return err
