Elect the hosts that warm cold servers once for a set of hosts, and look up addresses and team names

Cause: each request compared all servers of its service, and for each cold one this host elected the region's warming host among all hosts of the region anew (434 servers times 98 hashes a request on the large site). Each registration was compared with all others; each heartbeat sorted the names of all teams. Change: io/node remembers the elections until the active hosts change; core/roster finds servers by address; core/quota sorts the names when the configuration changes.

--- a/core/place/pick.go
+++ b/core/place/pick.go
@@ -160,7 +160,7 @@
 	if excess := srv.load() + 1 - float64(srv.Slots); excess > 0 && now.Add(c.latency).After(q.Started.Add(q.LatencyTarget)) {
 		return Full, p.timeToFinish(srv, excess, c.run)
 	}
-	if srv.isCold(now) && (!settings.WarmsUp(srv.ID) || !srv.hasColdToken(now)) {
+	if srv.isCold(now) && (!srv.hasColdToken(now) || !settings.WarmsUp(srv.ID)) {
 		return Cold, srv.ColdUntil.Sub(now)
 	}
 	return "", 0
--- a/core/quota/encoding.go
+++ b/core/quota/encoding.go
@@ -11,20 +11,20 @@
 const demandScale = 100 // demand is encoded in hundredths of a request per second
 
 // TeamNames returns the sorted names of the teams and their checksum. Encode and Decode need the names in this order;
-// hosts compare the checksums to detect that their lists differ.
+// hosts compare the checksums to detect that their lists differ. The caller must not change the list.
 func (l *Limiter) TeamNames() (names []ident.Team, sum int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for team := range l.teams {
-		names = append(names, team)
-	}
-	slices.Sort(names)
+	return l.names, l.namesSum
+}
+
+func checksum(names []ident.Team) int {
 	hash := crc32.NewIEEE()
 	for _, name := range names {
 		_, _ = hash.Write([]byte(name))
 		_, _ = hash.Write([]byte{0})
 	}
-	return names, int(hash.Sum32())
+	return int(hash.Sum32())
 }
 
 // numbersPerTeam is the number of numbers that Encode returns for a team with usage.
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -9,6 +9,8 @@
 package quota
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +49,8 @@
 
 	mu         sync.Mutex
 	teams      map[ident.Team]*teamState
+	names      []ident.Team // of teams, sorted
+	namesSum   int          // checksum of names
 	peers      map[ident.Host]*peer
 	peersKnown bool    // SetPeers has been called
 	isolated   bool    // this host hears of too few peers to use more than its minimum share
@@ -101,6 +105,8 @@
 		s.rate = rate
 		s.remaining = min(s.remaining, rate.Burst)
 	}
+	l.names = slices.Sorted(maps.Keys(rates))
+	l.namesSum = checksum(l.names)
 	l.updateShares(now)
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -26,15 +26,16 @@
 
 	mu              sync.Mutex
 	entries         map[ident.BackendServer]Entry
-	pendingRemovals map[ident.BackendServer]time.Time // when a delayed removal takes effect
-	endedStart      map[ident.BackendServer]int64     // StartMillis of the latest process that is known to have ended
-	delayUntil      time.Time                         // removals that arrive before this time are delayed until then
+	byAddress       map[string]map[ident.BackendServer]bool // the ids in entries by their addresses
+	pendingRemovals map[ident.BackendServer]time.Time       // when a delayed removal takes effect
+	endedStart      map[ident.BackendServer]int64           // StartMillis of the latest process that is known to have ended
+	delayUntil      time.Time                               // removals that arrive before this time are delayed until then
 }
 
 // New returns an empty roster with the given RemovalDelay.
 func New(removalDelay time.Duration) *Roster {
 	return &Roster{
-		RemovalDelay: removalDelay, entries: map[ident.BackendServer]Entry{},
+		RemovalDelay: removalDelay, entries: map[ident.BackendServer]Entry{}, byAddress: map[string]map[ident.BackendServer]bool{},
 		pendingRemovals: map[ident.BackendServer]time.Time{}, endedStart: map[ident.BackendServer]int64{},
 	}
 }
@@ -60,7 +61,7 @@
 	if known && old.StartMillis == s.StartMillis && old.Draining {
 		entry.Draining = true // a process never stops draining
 	}
-	r.entries[s.ID] = entry
+	r.setEntry(entry)
 	r.removeReplaced(s)
 	return !known || !old.EqualExceptSeq(entry.Server)
 }
@@ -75,13 +76,34 @@
 
 // removeReplaced removes servers whose address is now used by a process that started later.
 func (r *Roster) removeReplaced(s Server) {
-	for id, e := range r.entries {
-		if id != s.ID && e.Address == s.Address && e.StartMillis < s.StartMillis {
+	for id := range r.byAddress[s.Address] {
+		if id != s.ID && r.entries[id].StartMillis < s.StartMillis {
 			r.recordEnded(id)
 		}
 	}
 }
 
+func (r *Roster) setEntry(e Entry) {
+	r.deleteEntry(e.ID)
+	r.entries[e.ID] = e
+	if r.byAddress[e.Address] == nil {
+		r.byAddress[e.Address] = map[ident.BackendServer]bool{}
+	}
+	r.byAddress[e.Address][e.ID] = true
+}
+
+func (r *Roster) deleteEntry(id ident.BackendServer) {
+	e, ok := r.entries[id]
+	if !ok {
+		return
+	}
+	delete(r.entries, id)
+	delete(r.byAddress[e.Address], id)
+	if len(r.byAddress[e.Address]) == 0 {
+		delete(r.byAddress, e.Address)
+	}
+}
+
 // Remove applies the removal of a server's registration, or delays it during RemovalDelay after a store outage.
 func (r *Roster) Remove(now time.Time, id ident.BackendServer) {
 	r.mu.Lock()
@@ -103,7 +125,7 @@
 		r.recordEnded(id)
 		return
 	}
-	delete(r.entries, id)
+	r.deleteEntry(id)
 	delete(r.pendingRemovals, id)
 }
 
@@ -120,7 +142,7 @@
 // recordEnded removes a server and ignores later registrations of that process or earlier ones with its id.
 func (r *Roster) recordEnded(id ident.BackendServer) {
 	r.endedStart[id] = max(r.endedStart[id], r.entries[id].StartMillis)
-	delete(r.entries, id)
+	r.deleteEntry(id)
 	delete(r.pendingRemovals, id)
 }
 
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -79,12 +79,6 @@
 // hostCount returns the number of hosts that share the limits of the fleet, including this one.
 func (n *Node) hostCount() int { return 1 + n.peers.Count() }
 
-// warmsUp reports whether this host is the one that sends requests to a cold backend server. It is elected among the
-// active hosts of this host's region.
-func (n *Node) warmsUp(server ident.BackendServer) bool {
-	return n.elected(string(server), n.regionPeers())
-}
-
 // leadsMove reports whether this host is elected, among all active hosts, to write the stages of a service's move to
 // another version.
 func (n *Node) leadsMove(service ident.Service) bool {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -141,7 +141,7 @@
 	})
 	n.balancer = place.New(place.Settings{
 		Location: place.Location{Zone: ident.AvailabilityZone(s.Zone), Region: ident.Region(s.Region)},
-		Weights:  place.DefaultWeights(), WarmsUp: n.warmsUp,
+		Weights:  place.DefaultWeights(), WarmsUp: newWarmer(self, n.regionPeers).warmsUp,
 	})
 	n.edge = n.newEdge()
 }
