Share a small team's rate among the hosts that count for it

Change: hosts that count for others share the rate among themselves; cut off, a counting host uses the minimum shares of the hosts that it hears.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -52,8 +52,10 @@
 	names      []ident.Team // of teams, sorted
 	namesSum   int          // checksum of names
 	peers      map[ident.Host]*peer
-	peersKnown bool    // SetPeers has been called
+	peersKnown bool // SetPeers has been called
+	counters   Counters
 	isolated   bool    // this host hears of too few peers to use more than its minimum share
+	reachable  float64 // number of hosts that this host hears, including itself
 	silent     float64 // number of silent peers
 }
 
@@ -72,6 +74,7 @@
 	remaining       float64 // burst that remains after the requests that all hosts are known to have admitted
 	allowance       float64 // requests of the remaining burst that this host may admit until the next heartbeat
 	peers           peerSums
+	counts          bool // this host counts the requests of the team for other hosts, if its burst is small
 }
 
 // Usage is a host's report on one team: Demand is in requests per second, Admitted is the number of requests admitted
@@ -105,6 +108,7 @@
 		s.rate = rate
 		s.remaining = min(s.remaining, rate.Burst)
 	}
+	l.assignCounters()
 	l.names = slices.Sorted(maps.Keys(rates))
 	l.namesSum = checksum(l.names)
 	l.updateShares(now)
@@ -155,10 +159,10 @@
 }
 
 // activeHosts returns the number of hosts among which the remaining burst is divided. For a team with a small burst, these
-// are only the hosts with demand. For any other team, and while this host has no demand, these are all hosts.
+// are only the hosts with demand. For any other team, and while this host has no demand, these are the sharers.
 func (l *Limiter) activeHosts(s *teamState, hosts float64) float64 {
 	if s.confirmedDemand < minActiveDemand || !l.hasSmallBurst(s) {
-		return hosts
+		return l.sharers(s, hosts)
 	}
 	return 1 + s.peers.active
 }
--- a/core/quota/shares.go
+++ b/core/quota/shares.go
@@ -104,7 +104,7 @@
 // updateShares computes this host's share of each team's rate from all that is known of the peers.
 func (l *Limiter) updateShares(now time.Time) {
 	l.removeLostPeers(now)
-	l.isolated, l.silent = l.reachability(now)
+	l.isolated, l.reachable, l.silent = l.reachability(now)
 	l.countPeers(now)
 	hosts := l.hostCount()
 	for _, s := range l.teams {
@@ -124,10 +124,11 @@
 
 func (l *Limiter) updateShare(now time.Time, s *teamState, hosts float64) {
 	s.refill(now)
-	s.share = floorShare / hosts
+	s.share = l.minimumShare(s, hosts)
 	if !l.isolated {
+		sharers := l.sharers(s, hosts)
 		distributable := 1 - idleShare - l.silent*floorShare/hosts
-		s.share = idleShare/hosts + distributable*s.demandShare(hosts)
+		s.share = idleShare/sharers + distributable*s.demandShare(sharers)
 	}
 	s.tokens = min(s.tokens, max(1, s.share*localBurstShare*s.rate.Burst))
 }
@@ -152,9 +153,10 @@
 }
 
 // reachability reports whether this host is isolated: it receives heartbeats from so few peers that they may count it as
-// lost, or its peers are not known yet. It also returns the number of silent peers.
-func (l *Limiter) reachability(now time.Time) (isolated bool, silent float64) {
-	reachable, total := 1, 1
+// lost, or its peers are not known yet. It also returns the numbers of hosts that it hears, with itself, and of silent peers.
+func (l *Limiter) reachability(now time.Time) (isolated bool, reachable, silent float64) {
+	reachable = 1.0
+	total := 1.0
 	for _, p := range l.peers {
 		if now.Sub(p.reportedAt) <= l.IsolationTimeout {
 			reachable++
@@ -166,14 +168,14 @@
 			total++
 		}
 	}
-	return !l.peersKnown || total > 1 && 2*reachable <= total, silent
+	return !l.peersKnown || total > 1 && 2*reachable <= total, reachable, silent
 }
 
 // demandShare returns this host's share of the demand of all hosts, or an equal share when there is no demand.
-func (s *teamState) demandShare(hosts float64) float64 {
+func (s *teamState) demandShare(sharers float64) float64 {
 	sum := s.confirmedDemand + s.peers.demand
 	if sum < minDemand {
-		return 1 / hosts
+		return 1 / sharers
 	}
 	return s.confirmedDemand / sum
 }
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -10,6 +10,7 @@
 	"jayshift/core/quota"
 	"jayshift/core/roster"
 	"jayshift/core/wire"
+	"jayshift/io/rates"
 )
 
 // directoryTTL is the time for which callers may cache a response of the directory.
@@ -19,6 +20,7 @@
 func (n *Node) ready() bool { return n.watch.Loaded() && !n.leaving.Load() }
 
 func (n *Node) heartbeat() wire.EdgeHeartbeat {
+	n.quota.SetCounters(quota.Counters{Hosts: n.peers.ActiveRegions(time.Now()), Counts: n.countsTeam()})
 	names, sum := n.quota.TeamNames()
 	h := wire.EdgeHeartbeat{
 		Ready: n.ready(), Leaving: n.leaving.Load(), Reads: !n.watch.StoreLost(), Revision: int(n.watch.Revision()),
@@ -97,6 +99,12 @@
 	return n.peers.Relays(time.Now(), ident.Region(n.settings.Region))
 }
 
+// countsTeam returns a function that reports whether this host counts a team's requests for its region.
+func (n *Node) countsTeam() func(ident.Team) bool {
+	hosts, self := n.countingHosts(), ident.Host(n.settings.Name)
+	return func(team ident.Team) bool { return rates.CountingHost(team, hosts) == self }
+}
+
 // regionPeers returns the active peers in this host's region.
 func (n *Node) regionPeers() []ident.Host {
 	return n.peers.Hosts(time.Now(), func(r ident.Region) bool { return string(r) == n.settings.Region })
--- a/io/peer/heartbeat.go
+++ b/io/peer/heartbeat.go
@@ -47,8 +47,9 @@
 		p.mu.Lock()
 		p.uplink.heard(ident.Host(from.Host), now)
 		known := p.knownHeartbeat(e)
+		paused := p.pausedSince(now)
 		p.mu.Unlock()
-		if p.deliver(now, from, e) {
+		if p.deliver(now, from, e) && !paused {
 			p.queueDown(now, from, e, known)
 		}
 	}
--- a/io/peer/list.go
+++ b/io/peer/list.go
@@ -66,3 +66,16 @@
 	}
 	return hosts
 }
+
+// ActiveRegions returns the number of regions with an active host, including this host's.
+func (p *Peers) ActiveRegions(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	regions := map[ident.Region]bool{ident.Region(p.deps.Self.Region): true}
+	for _, peer := range p.peers {
+		if peer.active(now) {
+			regions[peer.Region] = true
+		}
+	}
+	return len(regions)
+}
--- a/io/peer/relayed.go
+++ b/io/peer/relayed.go
@@ -20,23 +20,33 @@
 // relayed is what this host passes on as a relay.
 type relayed struct {
 	flushedAt  time.Time
-	quietUntil time.Time                // heartbeats that arrive until then may be outdated
-	attached   map[ident.Host]time.Time // the hosts that send through this one, with the time of their last entry
-	heardAt    map[ident.Host]time.Time // when the last batch of a relay arrived
-	up         wire.RelayBatch          // for the other relays
-	down       wire.RelayBatch          // for the attached hosts
+	quietUntil time.Time                 // heartbeats that arrive until then may be outdated
+	attached   map[ident.Host]time.Time  // the hosts that send through this one, with the time of their last entry
+	relays     map[ident.Host]relayState // the relays that have sent batches to this host
+	up         wire.RelayBatch           // for the other relays
+	down       wire.RelayBatch           // for the attached hosts
 }
 
 func newRelayed() relayed {
-	return relayed{attached: map[ident.Host]time.Time{}, heardAt: map[ident.Host]time.Time{}}
+	return relayed{attached: map[ident.Host]time.Time{}, relays: map[ident.Host]relayState{}}
 }
 
-// wasSilent records a batch of a relay, and reports whether the relay was silent before. It may have been paused while it
-// sent the batch, which is then outdated.
-func (r *relayed) wasSilent(relay ident.Host, now time.Time) bool {
-	last, ok := r.heardAt[relay]
-	r.heardAt[relay] = now
-	return ok && now.Sub(last) > maxFlushGap
+// relayState is what this host knows of a relay that sends it batches.
+type relayState struct {
+	heardAt    time.Time // when its last batch arrived
+	quietUntil time.Time // batches that arrive until then may be outdated
+}
+
+// isOutdated records a batch of a relay, and reports whether the batch may be outdated: the relay was silent before, so it
+// may have been paused after it had made the batch.
+func (r *relayed) isOutdated(relay ident.Host, now time.Time) bool {
+	state, known := r.relays[relay]
+	if known && now.Sub(state.heardAt) > maxFlushGap {
+		state.quietUntil = now.Add(resumeQuiet)
+	}
+	state.heardAt = now
+	r.relays[relay] = state
+	return now.Before(state.quietUntil)
 }
 
 // add adds an entry to a batch, or only the host's id if its heartbeat has not changed.
@@ -109,7 +119,7 @@
 	p.mu.Lock()
 	paused := p.pausedSince(now)
 	p.uplink.heard(ident.Host(from.Host), now)
-	outdated := p.relayed.wasSilent(ident.Host(from.Host), now)
+	outdated := p.relayed.isOutdated(ident.Host(from.Host), now)
 	p.mu.Unlock()
 	entries, urgent := b.Entries[:0:0], false
 	for _, e := range b.Entries {
--- a/io/rates/rates.go
+++ b/io/rates/rates.go
@@ -100,5 +100,10 @@
 
 // countingHost returns the host of this region that counts the team's requests, this host if there is none.
 func (l *Limiter) countingHost(team ident.Team) ident.Host {
-	return cmp.Or(elect.Pick(string(team), l.deps.Counters()), l.deps.Self)
+	return cmp.Or(CountingHost(team, l.deps.Counters()), l.deps.Self)
+}
+
+// CountingHost returns the one of the hosts that counts the team's requests, an empty name if there are none.
+func CountingHost(team ident.Team, hosts []ident.Host) ident.Host {
+	return elect.Pick(string(team), hosts)
 }
--- a/io/rates/rates_test.go
+++ b/io/rates/rates_test.go
@@ -47,6 +47,8 @@
 	diedAt        []time.Time
 	sent, refused int
 	admittedAt    []time.Time
+	central       *quota.Limiter // one limiter for all requests
+	wrong         int            // requests that were refused, but admitted by central
 }
 
 func hostName(i int) ident.Host { return ident.Host(fmt.Sprint(i)) }
@@ -57,6 +59,9 @@
 	for i := range hostCount {
 		all = append(all, hostName(i))
 	}
+	f.central = quota.New(isolationTimeout, takeoverTimeout, 0)
+	f.central.SetPeers(f.now, nil)
+	f.central.SetRates(f.now, map[ident.Team]quota.Rate{team: rate})
 	for i := range hostCount {
 		q := quota.New(isolationTimeout, takeoverTimeout, slack)
 		q.SetRates(f.now, map[ident.Team]quota.Rate{team: rate})
@@ -130,6 +135,9 @@
 		return
 	}
 	names := []ident.Team{team}
+	f.quotas[i].SetCounters(quota.Counters{Hosts: regionCount, Counts: func(t ident.Team) bool {
+		return rates.CountingHost(t, append(f.regionPeers(i), hostName(i))) == hostName(i)
+	}})
 	usage := quota.Decode(names, quota.Encode(names, f.quotas[i].ReportUsage(f.now)))
 	for to, q := range f.quotas {
 		if to != i {
@@ -144,11 +152,15 @@
 		i = f.rng.IntN(hostCount)
 	}
 	f.sent++
+	within, _ := f.central.Take(f.now, team)
 	if _, ok, _ := f.limiters[i].Take(context.Background(), team); ok {
 		f.admittedAt = append(f.admittedAt, f.now)
 		return
 	}
 	f.refused++
+	if within {
+		f.wrong++
+	}
 }
 
 func (f *fleet) maxAdmitted() float64 {
@@ -172,6 +184,22 @@
 	is.True(float64(refused) <= maxRefusedRatio*float64(sent))
 }
 
+// TestFirstRequests checks that the first requests of teams that have sent nothing for long are served: at random hosts and
+// within the rate, as one limiter for all hosts sees it.
+func TestFirstRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sent, wrong := 0, 0
+	for seed := range uint64(200) {
+		f := newFleet(quota.Rate{PerSecond: 3, Burst: 6}, seed)
+		f.run(8*time.Second, 0)
+		f.run(2*time.Second, 2)
+		sent, wrong = sent+f.sent, wrong+f.wrong
+	}
+	t.Logf("%d of %d wrongly refused", wrong, sent)
+	is.True(float64(wrong) <= maxRefusedRatio*float64(sent))
+}
+
 // TestSuddenDemand checks that the rate holds when demand rises to many times the rate at all hosts at once and hosts fail
 // meanwhile.
 func TestSuddenDemand(t *testing.T) {
