Answer the connections that callers have opened when a planned stop begins, and survive a panic in a request

Cause: Stop closed the listener, which resets the connections in its queue, closed a connection that Accept had just returned, and closed connections without an unanswered request though their first request had been sent. A panic in a handler ended the process. Change: Stop accepts the queue, gives a new connection 0.5 s for its first request, and closes no connection on which bytes wait; the last response is not cut by closing the socket. A panic ends its request's connection. A request's log line says which host counted it against its team's rate, and which one gave no answer. With callers that go on opening connections through the stop, about one in 10,000 is still reset, in the microseconds between the last accept and the close.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -109,6 +109,7 @@
 		return refusal(outcomePoison, http.StatusServiceUnavailable, poisonRetryAfter)
 	}
 	charge, ok, retryAfter := e.deps.Rates.Take(q.ctx, q.team)
+	q.charge = charge
 	if !ok {
 		return refusal(outcomeTeamRate, http.StatusTooManyRequests, retryAfter)
 	}
--- a/io/edge/log.go
+++ b/io/edge/log.go
@@ -32,6 +32,7 @@
 		"service", string(q.service), "version", string(q.version), "servers", q.sentTo, "sent", q.sent, "unsent", q.unsent,
 		"may-run", q.mayHaveRun, "took", now.Sub(q.started).Round(time.Millisecond), "left", q.deadline.Sub(now).Round(time.Millisecond),
 		"retry-after", r.retryAfter.Round(time.Millisecond), "configuration", version, "omitted", omitted,
+		"counted-at", string(q.charge.Host), "count-failed-at", string(q.charge.Failed),
 	}
 	if r.outcome == outcomeAnswered {
 		e.deps.Log.Info("request served", attributes...)
--- a/io/edge/request.go
+++ b/io/edge/request.go
@@ -16,6 +16,7 @@
 	"jayshift/core/place"
 	"jayshift/core/poison"
 	"jayshift/core/table"
+	"jayshift/io/rates"
 )
 
 const (
@@ -43,9 +44,10 @@
 	restOfBody io.Reader // rest of the body after the buffered part, nil for none
 	fp         poison.Fingerprint
 
-	running    int // attempts that have not ended
-	sent       int // ended attempts that may have reached a backend server
-	unsent     int // ended attempts that did not reach a server
+	charge     rates.Charge // what the team's rate was charged
+	running    int          // attempts that have not ended
+	sent       int          // ended attempts that may have reached a backend server
+	unsent     int          // ended attempts that did not reach a server
 	mayHaveRun bool
 	attempted  []ident.BackendServer
 	sentTo     []ident.BackendServer // servers that may have received the request, for the log
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -33,8 +33,11 @@
 	writer     *bufio.Writer
 	ctx        context.Context
 	cancel     context.CancelFunc
-	unanswered atomic.Int64  // requests that were read but not yet answered
-	lastSent   atomic.Bool   // the last response was sent
+	unanswered atomic.Int64 // requests that were read but not yet answered
+	lastSent   atomic.Bool  // the last response was sent
+	reading    atomic.Bool  // a request is being read
+	used       atomic.Bool  // a request was read
+	acceptedAt time.Time
 	slots      chan struct{} // semaphore of maxPipelined requests
 
 	mu          sync.Mutex
@@ -54,7 +57,7 @@
 	return &conn{
 		server: s, socket: socket, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize),
 		writer: bufio.NewWriterSize(socket, writeBufferSize), ctx: ctx, cancel: cancel, prevDone: first,
-		slots: make(chan struct{}, maxPipelined),
+		slots: make(chan struct{}, maxPipelined), acceptedAt: time.Now(),
 	}
 }
 
@@ -63,11 +66,19 @@
 	_ = c.socket.Close()
 }
 
-// closeIdle closes the connection if it has no unanswered request.
-func (c *conn) closeIdle() {
-	if c.unanswered.Load() == 0 {
-		c.close()
+// closeIdle closes the connection if its caller waits for nothing, and reports whether it did. A new connection is given
+// firstRequestTime for its first request.
+func (c *conn) closeIdle(now time.Time) bool {
+	isNew := !c.used.Load() && now.Sub(c.acceptedAt) < firstRequestTime
+	if isNew || c.reading.Load() || c.unanswered.Load() > 0 || c.lastSent.Load() || hasInput(c.socket) {
+		return false
 	}
+	// The caller's bytes may have been read since the first check.
+	if c.reading.Load() || c.unanswered.Load() > 0 {
+		return false
+	}
+	c.close()
+	return true
 }
 
 // serve reads requests until the connection ends. It keeps reading while requests are handled, which also detects that
@@ -120,6 +131,8 @@
 		deadline := time.Now().Add(c.server.currentLimits().IdleTimeout)
 		_ = c.socket.SetReadDeadline(deadline)
 		if _, err := c.reader.Peek(1); err == nil {
+			c.reading.Store(true)
+			c.used.Store(true)
 			return true
 		} else if !errors.Is(err, os.ErrDeadlineExceeded) || c.unanswered.Load() == 0 {
 			return false
@@ -202,6 +215,9 @@
 
 const bodyReadTimeout = 30 * time.Second // for receiving a request body
 
+// firstRequestTime is how long a stopping server waits for the first request of a new connection.
+const firstRequestTime = 500 * time.Millisecond
+
 const lingerTimeout = 300 * time.Millisecond // for reading from the caller after the last response
 
 // takeTurn reserves the next position in the response order. The response may be written once turn is closed; done must
@@ -226,6 +242,7 @@
 func (c *conn) startRequest(r *http.Request) (keepReading bool) {
 	c.unanswered.Add(1)
 	c.server.running.Add(1)
+	c.reading.Store(false)
 	turn, done := c.takeTurn()
 	closeAfter := r.Close || !r.ProtoAtLeast(1, 1)
 	if r.ContentLength == 0 {
@@ -263,7 +280,7 @@
 		<-c.slots
 		close(done)
 	}()
-	resp := c.server.Handle(c.ctx, r)
+	resp := c.server.handle(c.ctx, r)
 	defer resp.end()
 	c.wait(turn)
 	if c.ctx.Err() != nil || c.writeClosed {
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,9 +69,10 @@
 	DisableKeepAlives func() bool
 	Log               *slog.Logger
 
-	listener net.Listener
-	stopping atomic.Bool
-	running  atomic.Int64
+	listener    net.Listener
+	acceptEnded chan struct{} // closed once no further connection is accepted
+	stopping    atomic.Bool
+	running     atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -77,30 +80,45 @@
 
 // New returns a server for the listener. The function fields must be set before Start.
 func New(l net.Listener, log *slog.Logger) *Server {
-	return &Server{listener: l, Log: log, conns: map[*conn]bool{}}
+	return &Server{listener: l, Log: log, conns: map[*conn]bool{}, acceptEnded: make(chan struct{})}
 }
 
 // Start accepts connections until Stop is called. It ignores its context and always returns nil.
 func (s *Server) Start(context.Context) error {
+	defer close(s.acceptEnded)
 	for {
 		socket, err := s.listener.Accept()
+		if err == nil {
+			s.serveConn(socket)
+			continue
+		}
 		if s.stopping.Load() {
-			if err == nil {
-				_ = socket.Close()
-			}
+			s.closeListener()
 			return nil
 		}
-		if err != nil {
-			s.Log.Warn("connection not accepted", "error", err.Error())
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
-		c := newConn(s, socket)
-		s.track(c, true)
-		go c.serve()
+		s.Log.Warn("connection not accepted", "error", err.Error())
+		time.Sleep(acceptRetryDelay)
 	}
 }
 
+func (s *Server) serveConn(socket net.Conn) {
+	c := newConn(s, socket)
+	s.track(c, true)
+	go c.serve()
+}
+
+// handle calls Handle. A panic ends the request's connection without an answer, since it is not known whether the request
+// has run.
+func (s *Server) handle(ctx context.Context, r *http.Request) (resp *Response) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.Log.Error("request handler panicked", "method", r.Method, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+			resp = &Response{Abort: true}
+		}
+	}()
+	return s.Handle(ctx, r)
+}
+
 func (s *Server) track(c *conn, open bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,19 +146,16 @@
 	return len(s.conns)
 }
 
-// Stop closes the listener and idle connections and waits for running requests. If the context ends first, it closes
-// all connections and returns ErrRequestsAborted.
+// Stop accepts the connections that callers have already opened, closes the listener and idle connections, and waits for
+// running requests. If the context ends first, it closes all connections and returns ErrRequestsAborted.
 func (s *Server) Stop(ctx context.Context) error {
 	if !s.stopping.Swap(true) {
-		_ = s.listener.Close()
+		s.endAccept()
 	}
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
 	for {
-		for _, c := range s.openConns() {
-			c.closeIdle()
-		}
-		if s.running.Load() == 0 {
+		if s.closeIdle() {
 			return nil
 		}
 		select {
@@ -154,6 +169,20 @@
 	}
 }
 
+// closeIdle closes idle connections. It reports whether no connection is accepted any more and none was left open.
+func (s *Server) closeIdle() bool {
+	ended := false
+	select {
+	case <-s.acceptEnded:
+		ended = true
+	default:
+	}
+	for _, c := range s.openConns() {
+		ended = c.closeIdle(time.Now()) && ended
+	}
+	return ended && s.running.Load() == 0
+}
+
 // currentLimits returns the current limits with defaults for those that are not set.
 func (s *Server) currentLimits() Limits {
 	l := s.Limits()
--- a/io/rates/rates.go
+++ b/io/rates/rates.go
@@ -44,8 +44,9 @@
 
 // Charge identifies the host that counted a request, and the request's team.
 type Charge struct {
-	host ident.Host
-	team ident.Team
+	Host   ident.Host
+	Failed ident.Host // the counting host that gave no answer, so that Host counted instead; empty if there is none
+	team   ident.Team
 }
 
 // Take counts a request of the team. If the rate is used up, it returns false and the time after which to retry.
@@ -55,12 +56,15 @@
 		host = l.countingHost(team)
 	}
 	if host != l.deps.Self {
-		if g, err := l.takeAt(ctx, host, team); err == nil {
-			return Charge{host, team}, g.Taken, time.Duration(g.AfterMs) * time.Millisecond
+		g, err := l.takeAt(ctx, host, team)
+		if err == nil {
+			return Charge{Host: host, team: team}, g.Taken, time.Duration(g.AfterMs) * time.Millisecond
 		}
+		charge.Failed = host
 	}
+	charge.Host, charge.team = l.deps.Self, team
 	ok, retryAfter = l.deps.Quota.Take(l.deps.Now(), team)
-	return Charge{l.deps.Self, team}, ok, retryAfter
+	return charge, ok, retryAfter
 }
 
 // takeAt asks another host to count a request of the team.
@@ -77,12 +81,12 @@
 // Refund reverts the count of a request that was not sent to any backend server. If the host that counted the request
 // cannot be reached, the request stays counted.
 func (l *Limiter) Refund(charge Charge) {
-	if charge.host == l.deps.Self {
+	if charge.Host == l.deps.Self {
 		l.deps.Quota.Refund(charge.team)
 		return
 	}
-	if err := l.deps.Cast(charge.host, wire.Frame{QuotaReturn: &wire.QuotaReturn{Team: string(charge.team)}}); err != nil {
-		l.deps.Log.Debug("request count not refunded", "host", string(charge.host), "team", string(charge.team), "error", err.Error())
+	if err := l.deps.Cast(charge.Host, wire.Frame{QuotaReturn: &wire.QuotaReturn{Team: string(charge.team)}}); err != nil {
+		l.deps.Log.Debug("request count not refunded", "host", string(charge.Host), "team", string(charge.team), "error", err.Error())
 	}
 }
 
