Let one malformed message end what it belongs to, and a paused host use its minimum share

Cause: a panic in the handling of a frame, a stored value or an attempt ended the process. A host that was paused admitted requests from the share of its teams' rates that its peers had taken over meanwhile, until its next heartbeat. Change: io/panics turns a panic into an error: the link is closed, the value left out, the attempt counted as possibly run. core/quota computes the shares anew before a request if they are older than the isolation timeout.

--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -54,9 +54,10 @@
 	peers      map[ident.Host]*peer
 	peersKnown bool // SetPeers has been called
 	counters   Counters
-	isolated   bool    // this host hears of too few peers to use more than its minimum share
-	reachable  float64 // number of hosts that this host hears, including itself
-	silent     float64 // number of silent peers
+	isolated   bool      // this host hears of too few peers to use more than its minimum share
+	reachable  float64   // number of hosts that this host hears, including itself
+	silent     float64   // number of silent peers
+	updatedAt  time.Time // when the shares were last computed
 }
 
 // teamState is the state of one team at this host.
@@ -124,6 +125,7 @@
 		return true, 0
 	}
 	s.arrived++
+	l.expireShares(now)
 	s.refill(now)
 	switch {
 	case s.tokens >= 1:
@@ -139,6 +141,18 @@
 	return true, 0
 }
 
+// expireShares computes the shares anew if that is overdue, as after a pause of this process: its peers have taken over its
+// share by then.
+func (l *Limiter) expireShares(now time.Time) {
+	if now.Sub(l.updatedAt) <= l.IsolationTimeout {
+		return
+	}
+	l.updateShares(now)
+	for _, s := range l.teams {
+		s.allowance = 0
+	}
+}
+
 // Refund returns the token of a request that was not sent to any backend server.
 func (l *Limiter) Refund(team ident.Team) {
 	l.mu.Lock()
--- a/core/quota/shares.go
+++ b/core/quota/shares.go
@@ -103,6 +103,7 @@
 
 // updateShares computes this host's share of each team's rate from all that is known of the peers.
 func (l *Limiter) updateShares(now time.Time) {
+	l.updatedAt = now
 	l.removeLostPeers(now)
 	l.isolated, l.reachable, l.silent = l.reachability(now)
 	l.countPeers(now)
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -10,6 +10,7 @@
 	"jayshift/core/ident"
 	"jayshift/core/place"
 	"jayshift/io/conns"
+	"jayshift/io/panics"
 )
 
 const (
@@ -154,15 +155,26 @@
 	server := &reservation.Server
 	e.addRunning(server, 1)
 	defer e.addRunning(server, -1)
+	result := attemptResult{reply: failedAttempt(outcomeBroken, mayHaveRun), server: server.ID, sent: true}
+	outcome := place.Outcome{Result: place.Broken}
+	if err := panics.Catch(func() { result, outcome = e.send(ctx, q, reservation) }); err != nil {
+		e.deps.Log.Error("attempt not made", "id", q.id(), "server", string(server.ID), "error", err.Error())
+	}
+	now := time.Now()
+	e.recordOutcome(q, reservation, outcome.Result, now)
+	reservation.Release(now, outcome)
+	result.reply.attempt = index
+	results <- result
+}
+
+// send sends the request to the server of the reservation and waits for the response.
+func (e *Edge) send(ctx context.Context, q *request, reservation *place.Reservation) (attemptResult, place.Outcome) {
+	server := &reservation.Server
 	deadline := q.deadline.Add(-replyMargin)
 	response, connectTime, err := e.deps.Pool.Do(ctx, server.Address, q.serverRequest(server.ID, deadline), deadline)
-	now := time.Now()
 	reply, outcome := e.classifyResponse(ctx, q, reservation, response, err)
-	reply.attempt = index
 	outcome.ConnectTime = connectTime
-	e.recordOutcome(q, reservation, outcome.Result, now)
-	reservation.Release(now, outcome)
-	results <- attemptResult{reply: reply, server: server.ID, sent: !errors.Is(err, conns.ErrNotSent)}
+	return attemptResult{reply: reply, server: server.ID, sent: !errors.Is(err, conns.ErrNotSent)}, outcome
 }
 
 // classifyResponse returns the reply for a server's response or error, and the outcome for the balancer.
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -116,7 +116,7 @@
 	h.Mesh = link.New(link.Deps{
 		Hello: func() wire.Hello { return h.Member.Hello() }, Handle: h.handle, OnOpen: h.handleLinkOpened,
 		OnClose:    func(host ident.Host) { h.Member.RecordLinkClosed(host) },
-		HTTPClient: h.linkClient, Scheme: h.linkScheme(), Secret: s.LinkSecret,
+		HTTPClient: h.linkClient, Scheme: h.linkScheme(), Secret: s.LinkSecret, Log: h.log,
 	})
 	h.Member = h.newMember()
 	h.Loans = loans.New(loans.Deps{
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -5,17 +5,17 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"jayshift/io/panics"
 )
 
 const (
@@ -110,13 +110,11 @@
 // handle calls Handle. A panic ends the request's connection without an answer, since it is not known whether the request
 // has run.
 func (s *Server) handle(ctx context.Context, r *http.Request) (resp *Response) {
-	defer func() {
-		if p := recover(); p != nil {
-			s.Log.Error("request handler panicked", "method", r.Method, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
-			resp = &Response{Abort: true}
-		}
-	}()
-	return s.Handle(ctx, r)
+	if err := panics.Catch(func() { resp = s.Handle(ctx, r) }); err != nil {
+		s.Log.Error("request not handled", "method", r.Method, "error", err.Error())
+		return &Response{Abort: true}
+	}
+	return resp
 }
 
 func (s *Server) track(c *conn, open bool) {
--- a/io/link/mesh.go
+++ b/io/link/mesh.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"jayshift/core/ident"
 	"jayshift/core/wire"
+	"jayshift/io/panics"
 )
 
 const (
@@ -34,6 +36,8 @@
 	HTTPClient func() *http.Client
 	// Scheme is the URL scheme of the links, "ws" or "wss".
 	Scheme string
+	// Log gets a line for each frame that could not be handled.
+	Log *slog.Logger
 	// Secret is the bearer token that hosts use to authenticate to each other. If empty, links are not authenticated.
 	Secret string
 }
@@ -277,11 +281,11 @@
 		return
 	}
 	if f.Call == 0 {
-		m.deps.Handle(m.ctx, c.peer, f)
+		m.handle(c, f)
 		return
 	}
 	go func() {
-		answer := m.deps.Handle(m.ctx, c.peer, f)
+		answer := m.handle(c, f)
 		if answer == nil {
 			return
 		}
@@ -292,6 +296,16 @@
 	}()
 }
 
+// handle calls Deps.Handle. A panic closes the link that the frame came over.
+func (m *Mesh) handle(c *conn, f wire.Frame) (answer *wire.Frame) {
+	if err := panics.Catch(func() { answer = m.deps.Handle(m.ctx, c.peer, f) }); err != nil {
+		m.deps.Log.Error("frame not handled", "peer", c.peer.Host, "error", err.Error())
+		c.close()
+		return nil
+	}
+	return answer
+}
+
 // connTo returns the dialled link to the host, or nil if none is open or the host is blocked.
 func (m *Mesh) connTo(host ident.Host) *conn {
 	m.mu.Lock()
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -92,7 +92,7 @@
 func newMember(m *memoryStore) *member.Member {
 	log := slog.New(slog.DiscardHandler)
 	mesh := link.New(link.Deps{
-		Hello: func() wire.Hello { return wire.Hello{} }, HTTPClient: func() *http.Client { return http.DefaultClient }, Scheme: "ws",
+		Hello: func() wire.Hello { return wire.Hello{} }, HTTPClient: func() *http.Client { return http.DefaultClient }, Scheme: "ws", Log: log,
 	})
 	st := &store.Store{
 		Txn:   m.txn,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -117,7 +117,7 @@
 		OnChange: n.applyStoreChange, PeerReader: n.storeReader, FetchCopy: peer.Fetch,
 	})
 	n.mesh = link.New(link.Deps{
-		Hello: n.hello, Handle: n.handleFrame, Scheme: "ws",
+		Hello: n.hello, Handle: n.handleFrame, Scheme: "ws", Log: n.log,
 		OnOpen:     func(to wire.Hello) { n.peers.OnLinkOpen(to) },
 		HTTPClient: func() *http.Client { return http.DefaultClient },
 	})
--- a/io/watch/apply.go
+++ b/io/watch/apply.go
@@ -3,6 +3,7 @@
 import (
 	"jayshift/core/ident"
 	"jayshift/core/table"
+	"jayshift/io/panics"
 )
 
 // replaceAll applies a full list of the store's keys at the given revision. Known keys that are missing from the list are
@@ -58,11 +59,19 @@
 		w.logIgnored(i, err)
 		return true
 	}
-	change, err := w.deps.Decode(i)
+	change, err := w.decode(i)
 	w.logIgnored(i, err)
 	return w.applyChange(change)
 }
 
+// decode calls Deps.Decode. A panic becomes an error.
+func (w *Watch) decode(i Item) (change Change, err error) {
+	if panicErr := panics.Catch(func() { change, err = w.deps.Decode(i) }); panicErr != nil {
+		return Change{}, panicErr
+	}
+	return change, err
+}
+
 // logIgnored logs the error of a value that could not be decoded, if there is one.
 func (w *Watch) logIgnored(i Item, err error) {
 	if err != nil {
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -230,3 +230,22 @@
 	is.Equal(serverIDs(follower), "a")
 	is.Equal(follower.Revision(), ident.Revision(12))
 }
+
+// TestPanicLeavesOutTheValue checks that a value whose decoding panics is left out, and the values after it are applied.
+func TestPanicLeavesOutTheValue(t *testing.T) {
+	is := is.New(t)
+	w := watch.New(watch.Deps{
+		Log: slog.New(slog.DiscardHandler), Now: time.Now, OnChange: func() {},
+		Decode: func(i watch.Item) (watch.Change, error) {
+			if i.Key == "bad" {
+				panic("malformed")
+			}
+			return watch.Change{EvacuatedZone: "z"}, nil
+		},
+	})
+	w.ApplyCopy(wire.Copy{Full: true, Revision: 2, Items: []wire.Item{{Key: "bad", Revision: 1}, {Key: "good", Revision: 2}}})
+	is.Equal(w.Revision(), ident.Revision(2))
+	c, ok := w.Copy(context.Background(), 0)
+	is.True(ok)
+	is.Equal(len(c.Items), 2)
+}
