Make fewer store calls at the start, when a reader is lost and while the store is out

Cause: each start read changes from the store until the first heartbeats named a reader (three calls or more), all hosts of a region read the store for 3 s when their reader failed, and each host tried a lost store four times a second. Change: a host that has just read the store waits up to 1.5 s for its reader; a second reader is tried before the store; the time between tries grows with the fleet, to 1.5 s at most.

--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -128,13 +128,14 @@
 
 // storeReader returns the link address of the host that reads the store for this host's region: the first by name of
 // those that can read it. It returns false if this host reads the store itself or has lost it.
-func (n *Node) storeReader() (string, bool) {
+// The failed address, if not empty, is left out.
+func (n *Node) storeReader(failed string) (string, bool) {
 	if n.watch.StoreLost() {
 		return "", false
 	}
 	best, address := ident.Host(n.settings.Name), ""
 	for _, p := range n.peers.Active(time.Now()) {
-		if string(p.Region) == n.settings.Region && p.Heartbeat.Reads && p.Host < best {
+		if string(p.Region) == n.settings.Region && p.Heartbeat.Reads && p.Host < best && p.LinkAddress != failed {
 			best, address = p.Host, p.LinkAddress
 		}
 	}
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -29,7 +29,7 @@
 // lost store connection.
 var changeMessages = []string{
 	"configuration in force", "host started", "host stopping", "host stopped", "host stated in the store", "lease lapsed",
-	"store lost", "store regained", "store dropped its history, reading all", "reader lost, reading the store",
+	"store lost", "store regained", "store dropped its history, reading all", "reader lost, using another",
 	"took a peer's copy of the store", "value in the store left out", "availability zone evacuated", "evacuation over",
 	"move ordered", "move stated", "move ended", "backend version tripped", "told to reload; settings take effect at the next start",
 	"log lines dropped",
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,7 +19,12 @@
 )
 
 const (
-	retryDelay      = 250 * time.Millisecond // between attempts to read the store
+	retryDelay    = 250 * time.Millisecond // between attempts to read the store, in a fleet of up to retryHosts
+	retryHosts    = 24                     // hosts; a larger fleet retries more slowly, so that it makes no more calls together
+	maxRetryDelay = 1500 * time.Millisecond
+	// startWait is how long a host that has just read the store waits for the heartbeats that name its reader.
+	startWait       = 1500 * time.Millisecond
+	startWaitStep   = 100 * time.Millisecond
 	removalInterval = 200 * time.Millisecond // between checks for removals that are due
 	// removalDelay is how long backend servers may take to register again after a store outage.
 	removalDelay = 2200 * time.Millisecond
@@ -39,9 +45,9 @@
 	Now          func() time.Time
 	// OnChange is called after every relevant change. A registration that differs only in its Seq is not relevant.
 	OnChange func()
-	// PeerReader returns the address of the peer that reads the store for this host, or false if this host reads it
-	// itself.
-	PeerReader func() (address string, ok bool)
+	// PeerReader returns the address of the peer that reads the store for this host, other than the failed one (empty for
+	// none), or false if this host reads it itself.
+	PeerReader func(failed string) (address string, ok bool)
 	// FetchCopy fetches the changes after the revision from a peer. The peer may delay its answer until there is a change.
 	FetchCopy func(ctx context.Context, address string, after ident.Revision) (wire.Copy, error)
 }
@@ -56,7 +62,10 @@
 	deletions         []Item         // the latest ones, at most maxDeletions
 	droppedDeletions  ident.Revision // deletions up to this revision are no longer recorded
 	changeCh          chan struct{}  // closed at the next relevant change
-	directReadUntil   time.Time      // time until which this host reads the store itself after its reader peer failed
+	failedReader      string         // address of the reader peer that failed last
+	failedUntil       time.Time      // time until which failedReader is not used
+	directReadUntil   time.Time      // time until which this host reads the store itself after two reader peers failed
+	awaited           bool           // startWait has passed or a reader was found
 	revision          ident.Revision // revision up to which items are complete
 	confirmedAt       time.Time      // when the store or a peer's copy last confirmed revision
 	loaded            bool           // the copy is complete, so that no full read is needed
@@ -101,7 +110,7 @@
 		}
 		w.markStoreLost(err)
 		select {
-		case <-time.After(retryDelay):
+		case <-time.After(w.nextRetryDelay()):
 		case <-ctx.Done():
 		}
 	}
@@ -110,20 +119,53 @@
 // errPeerReads ends the watch of the store when a peer has started to read it for this host.
 var errPeerReads = merry.Sentinel("watch: a peer reads the store")
 
-// peerReader returns the address of the peer that reads the store for this host. It returns false if one failed within
+// nextRetryDelay returns the time until the next attempt to read the store. It grows with the fleet and varies by a
+// quarter.
+func (w *Watch) nextRetryDelay() time.Duration {
+	w.mu.Lock()
+	hosts := len(w.hosts)
+	w.mu.Unlock()
+	delay := min(max(retryDelay, retryDelay*time.Duration(hosts)/retryHosts), maxRetryDelay)
+	return delay*3/4 + rand.N(delay/2)
+}
+
+// peerReader returns the address of the peer that reads the store for this host. It returns false if two failed within
 // directReadTime or this host has no complete copy yet.
 func (w *Watch) peerReader() (string, bool) {
 	w.mu.Lock()
-	direct := w.deps.Now().Before(w.directReadUntil) || !w.loaded
+	now := w.deps.Now()
+	direct := now.Before(w.directReadUntil) || !w.loaded
+	failed := ""
+	if now.Before(w.failedUntil) {
+		failed = w.failedReader
+	}
 	w.mu.Unlock()
 	if direct {
 		return "", false
 	}
-	return w.deps.PeerReader()
+	return w.deps.PeerReader(failed)
+}
+
+// awaitReader waits, once, until a peer reads the store for this host, at most startWait. All hosts of a fleet that starts
+// together would otherwise read changes from the store until they have heard of each other.
+func (w *Watch) awaitReader(ctx context.Context) {
+	if w.awaited {
+		return
+	}
+	w.awaited = true
+	if len(w.Hosts()) < 2 {
+		return
+	}
+	for range startWait / startWaitStep {
+		if _, ok := w.peerReader(); ok || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(startWaitStep)
+	}
 }
 
-// readPeer fetches and applies the changes from the reader peer. If the peer fails, this host reads the store itself for
-// directReadTime.
+// readPeer fetches and applies the changes from the reader peer. If the peer fails, another one is used for
+// directReadTime; if that fails too, this host reads the store itself.
 func (w *Watch) readPeer(ctx context.Context, address string) {
 	c, err := w.deps.FetchCopy(ctx, address, w.Revision())
 	if err == nil {
@@ -131,9 +173,13 @@
 		return
 	}
 	w.mu.Lock()
-	w.directReadUntil = w.deps.Now().Add(directReadTime)
+	now := w.deps.Now()
+	if now.Before(w.failedUntil) && w.failedReader != address {
+		w.directReadUntil = now.Add(directReadTime)
+	}
+	w.failedReader, w.failedUntil = address, now.Add(directReadTime)
 	w.mu.Unlock()
-	w.deps.Log.Info("reader lost, reading the store", "reader", address, "error", err.Error())
+	w.deps.Log.Info("reader lost, using another", "reader", address, "error", err.Error())
 }
 
 // watchStore reads the whole store if necessary and then watches it for changes, until the watch fails, a peer starts to
@@ -150,6 +196,10 @@
 		}
 		w.markStoreRegained()
 		w.replaceAll(items, ident.Revision(revision))
+		w.awaitReader(ctx)
+	}
+	if _, ok := w.peerReader(); ok {
+		return errPeerReads
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -100,7 +100,7 @@
 	w := watch.New(watch.Deps{
 		Store: s.store(), Decode: decode, RegionByZone: map[ident.AvailabilityZone]ident.Region{"z": "r"},
 		Log: slog.New(slog.DiscardHandler), Now: time.Now, OnChange: func() {},
-		PeerReader: func() (string, bool) { return "", false },
+		PeerReader: func(string) (string, bool) { return "", false },
 		FetchCopy: func(context.Context, string, ident.Revision) (wire.Copy, error) {
 			return wire.Copy{}, errors.New("none")
 		},
