--- a/core/place/pick.go
+++ b/core/place/pick.go
@@ -24,7 +24,7 @@
 	if srv := chosen.server; q.Object != "" && srv.Region == b.settings.Location.Region {
 		p.objects.observe(now, q.Object).crossZoneCost += b.settings.Weights.transferCost(b.settings.Location, srv, q.Bytes)
 	}
-	return p.reserve(now, q, chosen), nil
+	return p.reserve(now, q, chosen, b.settings.Weights.QueuePerSlot), nil
 }
 
 // limitRegion returns the cheapest server in the region that the region limiter chooses.
--- a/core/place/reservation.go
+++ b/core/place/reservation.go
@@ -22,15 +22,15 @@
 	ranRecently  bool    // the server has run the object recently for this host, or the request has no object
 	queued       bool    // the server had no free slot or reported waiting requests, so the response time may include a wait
 	probe        bool    // the request checks whether a paused server works again
-	queuePerSlot float64 // assumed queue length per slot of a server that shed the request
+	queuePerSlot float64 // queue length per slot of a server that shed the request, as far as this host fills it
 }
 
 // reserve returns a reservation at the candidate's server. The pool must be locked.
-func (p *pool) reserve(now time.Time, q Query, c candidate) *Reservation {
+func (p *pool) reserve(now time.Time, q Query, c candidate, queuePerSlot float64) *Reservation {
 	srv := c.server
 	r := &Reservation{
 		Server: srv.Server, Warm: c.warm, ExpectedWait: c.wait, ExpectedRun: c.run, pool: p, server: srv, ranRecently: c.ranRecently,
-		route: q.Route, object: q.Object, started: now, queued: srv.load()+1 > float64(srv.Slots), queuePerSlot: 2,
+		route: q.Route, object: q.Object, started: now, queued: srv.load()+1 > float64(srv.Slots), queuePerSlot: queuePerSlot,
 	}
 	if srv.consecutiveFaults > 0 && srv.pause > 0 {
 		srv.probing = true
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -46,8 +46,6 @@
 	BroadcastStrike func(p poison.Fingerprint, server ident.BackendServer)
 	// MarkEnded records that the server's process has ended, because another process answers at its address.
 	MarkEnded func(roster.Server)
-	// Leaving reports whether the host has started to stop. Edge does not use it.
-	Leaving func() bool
 	// Count records a finished request in the metrics.
 	Count func(Sample)
 }
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -154,8 +154,8 @@
 		Pool: conns.New(protocol.RequestID, 1<<20), Rates: rates.New(rates.Deps{Self: "a", Quota: f.quota, Counters: func() []ident.Host { return nil }, Now: time.Now}), Poison: poison.New(), RetryRatio: 1, RetrySlack: 100,
 		HostCount: func() int { return 1 }, Version: func(ident.Service) ident.Version { return "" },
 		RecordOutcome:   func(roster.Server, ident.Route, bool, float64) {},
-		BroadcastStrike: func(poison.Fingerprint, ident.BackendServer) {}, Leaving: func() bool { return false },
-		MarkEnded: func(s roster.Server) { f.ended = append(f.ended, s) }, Count: func(edge.Sample) {},
+		BroadcastStrike: func(poison.Fingerprint, ident.BackendServer) {},
+		MarkEnded:       func(s roster.Server) { f.ended = append(f.ended, s) }, Count: func(edge.Sample) {},
 	})
 	return f
 }
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -10,10 +10,9 @@
 // body is a caller's request body. Its first replayBufferSize bytes are buffered, and it can be sent again until
 // a part of the body after the buffer was read.
 type body struct {
-	source    io.Reader
-	buffer    bytes.Buffer
-	tailRead  bool
-	tailBytes int64
+	source   io.Reader
+	buffer   bytes.Buffer
+	tailRead bool
 }
 
 func newBody(source io.Reader) *body { return &body{source: source} }
@@ -44,6 +43,5 @@
 	if n > 0 {
 		t.body.tailRead = true
 	}
-	t.body.tailBytes += int64(n)
 	return n, err
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -151,7 +151,7 @@
 		Protocol: n.platform.Protocol, Log: n.log, Table: n.watch.Table, Balancer: n.balancer, Pool: n.pool, Rates: n.rates,
 		Poison: n.poison, RetryRatio: n.platform.RetryRatio, RetrySlack: n.platform.RetrySlack, HostCount: n.hostCount,
 		Version: n.rolls.Version, RecordOutcome: n.recordOutcome, BroadcastStrike: n.broadcastStrike,
-		MarkEnded: n.watch.MarkEnded, Leaving: n.leaving.Load,
+		MarkEnded: n.watch.MarkEnded,
 		Count: n.meter.RecordRequest,
 	})
 }
--- a/io/peer/relayed.go
+++ b/io/peer/relayed.go
@@ -195,9 +195,9 @@
 func (p *Peers) flush(now time.Time) {
 	p.mu.Lock()
 	up, down := p.relayed.up, p.relayed.down
-	paused := p.missedFlush(now)
-	if paused {
+	if p.missedFlush(now) {
 		p.relayed.quietUntil = now.Add(resumeQuiet)
+		up, down = withoutHeartbeats(up), withoutHeartbeats(down)
 	}
 	p.relayed.up, p.relayed.down, p.relayed.flushedAt = wire.RelayBatch{}, wire.RelayBatch{}, now
 	var attached []ident.Host
@@ -210,9 +210,6 @@
 	}
 	relays := p.plan.Links
 	p.mu.Unlock()
-	if paused {
-		return
-	}
 	if len(up.Entries)+len(up.Alive) > 0 {
 		up.Forward = true
 		for _, host := range relays {
@@ -224,6 +221,17 @@
 	}
 }
 
+// withoutHeartbeats returns the batch with the faults and strikes only.
+func withoutHeartbeats(b wire.RelayBatch) wire.RelayBatch {
+	entries := b.Entries[:0:0]
+	for _, e := range b.Entries {
+		if e.Trip != nil || e.Strike != nil {
+			entries = append(entries, e)
+		}
+	}
+	return wire.RelayBatch{Entries: entries}
+}
+
 // snapshot returns the last heartbeats of the active peers among the hosts, nil for all peers.
 func (p *Peers) snapshot(now time.Time, hosts map[ident.Host]time.Time) []wire.Relayed {
 	list := []wire.Relayed{}
--- a/io/roll/roll.go
+++ b/io/roll/roll.go
@@ -54,11 +54,10 @@
 
 // move is the state of one service's move at this host.
 type move struct {
-	order     watch.MoveOrder
-	firstSeen time.Time   // time at which this host first read the order
-	step      canary.Step // share that this host applies, and since when
-	fault     string      // reason why the version is bad, or empty
-	ended     bool        // the stored status says that the move is done or reverted
+	order watch.MoveOrder
+	step  canary.Step // share that this host applies, and since when
+	fault string      // reason why the version is bad, or empty
+	ended bool        // the stored status says that the move is done or reverted
 }
 
 // New returns a Rollouts without moves.
@@ -197,7 +196,7 @@
 	defer r.mu.Unlock()
 	m := r.moves[order.Service]
 	if m == nil || m.order.Revision != order.Revision {
-		m = &move{order: order, firstSeen: now}
+		m = &move{order: order}
 		r.moves[order.Service] = m
 		r.deps.Evidence.Reset(order.Service, order.To)
 	}
