Bound the response headers that an entry host reads

Cause: net/http reads up to 10 MB of a response header; a server that sends one without end cost that for each attempt. Change: 64 KB. TestHeaderWithoutEnd fails without it.

--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -26,7 +26,8 @@
 	keepAliveCount    = 3
 	reportTimeout     = 500 * time.Millisecond
 	reportPath        = "/health"
-	extraConns        = 1 // connections in addition to the server's slots, for load reports
+	maxHeaderBytes    = 64 << 10 // of a response
+	extraConns        = 1        // connections in addition to the server's slots, for load reports
 )
 
 var (
@@ -96,7 +97,7 @@
 	}
 	transport := &http.Transport{
 		DialContext: dialer.DialContext, MaxConnsPerHost: b.Slots + extraConns, MaxIdleConnsPerHost: b.Slots + extraConns,
-		IdleConnTimeout: idleTimeout, DisableCompression: true,
+		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Target{State: route.NewServer(b), transport: transport}
 }
