Refuse figures in settings and resource files that are not finite

NaN and infinite values passed the checks of bounds, scenarios and resources: NaN compares as neither too small nor too large.

--- a/io/files/files.go
+++ b/io/files/files.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"math"
 	"os"
 	"reflect"
 	"sort"
@@ -115,8 +116,11 @@
 		return checkValue(err, "must be a whole number")
 	case reflect.Float64:
 		x, err := strconv.ParseFloat(text, 64)
+		if err == nil && (math.IsNaN(x) || math.IsInf(x, 0)) {
+			err = strconv.ErrRange
+		}
 		field.SetFloat(x)
-		return checkValue(err, "must be a number")
+		return checkValue(err, "must be a finite number")
 	case reflect.Slice:
 		field.Set(reflect.ValueOf(splitList(text)))
 	case reflect.Map:
--- a/io/files/files_test.go
+++ b/io/files/files_test.go
@@ -79,7 +79,7 @@
 func TestFaults(t *testing.T) {
 	for name, text := range map[string]string{
 		"no name": "[team]\nrate=1\n", "unknown kind": "[teem t]\n", "unknown field": "[team t]\nspeed=1\n",
-		"not a number": "[team t]\nrate=fast\n", "no section": "rate=1\n", "not a pair": "[shift x]\nversions=v2\n",
+		"not a number": "[team t]\nrate=fast\n", "not finite": "[team t]\nrate=+Inf\n", "NaN": "[team t]\nrate=NaN\n", "no section": "rate=1\n", "not a pair": "[shift x]\nversions=v2\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/io/setup/scenario.go
+++ b/io/setup/scenario.go
@@ -1,6 +1,7 @@
 package setup
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -50,7 +51,7 @@
 func numberField[T any](field func(*T) *float64) func(*T, string) error {
 	return func(s *T, value string) error {
 		n, err := strconv.ParseFloat(value, 64)
-		if err != nil || n <= 0 {
+		if err != nil || !(n > 0) || math.IsInf(n, 0) {
 			return errNumber
 		}
 		*field(s) = n
