Wait 120 ms for the host that counts a team's requests

At 60 ms, requests on the large site were refused because the answer came late: the counting relay's link, 12 to 20 Mbit/s, sends its members' batches for up to 44 ms (worked out from 45 KB a batch; one request seen refused after 64 ms).

--- a/io/rates/rates.go
+++ b/io/rates/rates.go
@@ -19,7 +19,7 @@
 
 // askTimeout is longer than a round trip to a host of the same region, and short compared with the time that a request may
 // take.
-const askTimeout = 60 * time.Millisecond
+const askTimeout = 120 * time.Millisecond
 
 var errUnexpectedAnswer = merry.Sentinel("rates: answer is not a quota grant")
 
