Do not wait for a reader at the start; lint

A host that had just read the store waited for the heartbeat that names its reader, to save calls. The second reader and the slower tries of a lost store stay.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -152,7 +152,7 @@
 		Poison: n.poison, RetryRatio: n.platform.RetryRatio, RetrySlack: n.platform.RetrySlack, HostCount: n.hostCount,
 		Version: n.rolls.Version, RecordOutcome: n.recordOutcome, BroadcastStrike: n.broadcastStrike,
 		MarkEnded: n.watch.MarkEnded,
-		Count: n.meter.RecordRequest,
+		Count:     n.meter.RecordRequest,
 	})
 }
 
--- a/io/roll/roll.go
+++ b/io/roll/roll.go
@@ -175,7 +175,7 @@
 // Tick updates all moves, checks their evidence and sets the gates. The leader of a service also advances its move.
 func (r *Rollouts) Tick(ctx context.Context, now time.Time) {
 	for _, order := range r.deps.Watch.Orders() {
-		m := r.updateMove(now, order)
+		m := r.updateMove(order)
 		if m.ended {
 			continue
 		}
@@ -191,7 +191,7 @@
 
 // updateMove returns the state of the move that the order asks for. It creates the state for a new order, and ends the
 // move when the stored status says so.
-func (r *Rollouts) updateMove(now time.Time, order watch.MoveOrder) *move {
+func (r *Rollouts) updateMove(order watch.MoveOrder) *move {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.moves[order.Service]
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -19,12 +19,9 @@
 )
 
 const (
-	retryDelay    = 250 * time.Millisecond // between attempts to read the store, in a fleet of up to retryHosts
-	retryHosts    = 24                     // hosts; a larger fleet retries more slowly, so that it makes no more calls together
-	maxRetryDelay = 1500 * time.Millisecond
-	// startWait is how long a host that has just read the store waits for the heartbeats that name its reader.
-	startWait       = 1500 * time.Millisecond
-	startWaitStep   = 100 * time.Millisecond
+	retryDelay      = 250 * time.Millisecond // between attempts to read the store, in a fleet of up to retryHosts
+	retryHosts      = 24                     // hosts; a larger fleet retries more slowly, so that it makes no more calls together
+	maxRetryDelay   = 1500 * time.Millisecond
 	removalInterval = 200 * time.Millisecond // between checks for removals that are due
 	// removalDelay is how long backend servers may take to register again after a store outage.
 	removalDelay = 2200 * time.Millisecond
@@ -65,7 +62,6 @@
 	failedReader      string         // address of the reader peer that failed last
 	failedUntil       time.Time      // time until which failedReader is not used
 	directReadUntil   time.Time      // time until which this host reads the store itself after two reader peers failed
-	awaited           bool           // startWait has passed or a reader was found
 	revision          ident.Revision // revision up to which items are complete
 	confirmedAt       time.Time      // when the store or a peer's copy last confirmed revision
 	loaded            bool           // the copy is complete, so that no full read is needed
@@ -146,24 +142,6 @@
 	return w.deps.PeerReader(failed)
 }
 
-// awaitReader waits, once, until a peer reads the store for this host, at most startWait. All hosts of a fleet that starts
-// together would otherwise read changes from the store until they have heard of each other.
-func (w *Watch) awaitReader(ctx context.Context) {
-	if w.awaited {
-		return
-	}
-	w.awaited = true
-	if len(w.Hosts()) < 2 {
-		return
-	}
-	for range startWait / startWaitStep {
-		if _, ok := w.peerReader(); ok || ctx.Err() != nil {
-			return
-		}
-		time.Sleep(startWaitStep)
-	}
-}
-
 // readPeer fetches and applies the changes from the reader peer. If the peer fails, another one is used for
 // directReadTime; if that fails too, this host reads the store itself.
 func (w *Watch) readPeer(ctx context.Context, address string) {
@@ -196,7 +174,6 @@
 		}
 		w.markStoreRegained()
 		w.replaceAll(items, ident.Revision(revision))
-		w.awaitReader(ctx)
 	}
 	if _, ok := w.peerReader(); ok {
 		return errPeerReads
