--- a/io/httpd/stop_test.go
+++ b/io/httpd/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -54,6 +55,55 @@
 	}
 }
 
+// TestStopUnderLoad stops a server while callers open connections and send one request on each. A caller whose connection
+// was accepted gets an answer: a refused connection is the only failure that a planned stop may cause.
+func TestStopUnderLoad(t *testing.T) {
+	const (
+		callers   = 40
+		rounds    = 5
+		sendDelay = 5 * time.Millisecond // between a caller's connection and its request
+	)
+	for range rounds {
+		is := is.New(t)
+		address, s := startServer(t, nil, func(ctx context.Context, r *http.Request) *httpd.Response {
+			time.Sleep(time.Millisecond)
+			return echo(ctx, r)
+		})
+		var answered, cut atomic.Int64
+		var wg sync.WaitGroup
+		for i := range callers {
+			wg.Go(func() {
+				for {
+					c, err := net.Dial("tcp", address)
+					if err != nil {
+						return
+					}
+					if i%2 == 0 {
+						time.Sleep(sendDelay)
+					}
+					_, _ = fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", i)
+					_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+					answer, _ := io.ReadAll(c)
+					_ = c.Close()
+					if len(answer) == 0 {
+						cut.Add(1)
+						continue
+					}
+					answered.Add(1)
+				}
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		is.NoErr(s.Stop(ctx))
+		cancel()
+		wg.Wait()
+		t.Logf("%d answered, %d cut", answered.Load(), cut.Load())
+		is.True(answered.Load() > 0)
+		is.Equal(cut.Load(), int64(0))
+	}
+}
+
 // TestPanicEndsOneRequest checks that a handler that panics costs its own request only.
 func TestPanicEndsOneRequest(t *testing.T) {
 	is := is.New(t)
