--- /dev/null
+++ b/io/host/gone_test.go
@@ -0,0 +1,60 @@
+package host_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayshift/internal/depart"
+	"jayshift/internal/fleet"
+)
+
+// TestNotSentOnForCallersThatLeft guards against requests that reach a server though their callers had left before.
+func TestNotSentOnForCallersThatLeft(t *testing.T) {
+	const callers, quietTime = 40, 300 * time.Millisecond
+	f, key, _ := startFleet(t, singleService("v1"))
+	head := " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n"
+	for name, c := range map[string]struct {
+		request string
+		leave   func(address, request string) error
+	}{
+		"read":              {"GET /whistle/1" + head + "\r\n", depart.Send},
+		"reset":             {"GET /whistle/1" + head + "\r\n", depart.Reset},
+		"write with a body": {"POST /whistle/1" + head + "Content-Length: 3\r\n\r\nabc", depart.Send},
+		"bytes after it":    {"GET /whistle/1" + head + "\r\nGET", depart.Send},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			openServerConnections(f, key)
+			before := requestCount(f)
+			for range callers {
+				is.NoErr(c.leave(f.Entries()[0], c.request))
+			}
+			time.Sleep(quietTime)
+			is.Equal(requestCount(f), before)
+		})
+	}
+}
+
+// requestCount returns the number of requests that the fleet's backend servers have started.
+func requestCount(f *fleet.Fleet) int {
+	sum := 0
+	for _, b := range f.Backends {
+		sum += b.Stats().Requests
+	}
+	return sum
+}
+
+// openServerConnections leaves idle connections from the first host to the servers, on which a request can be sent at once.
+func openServerConnections(f *fleet.Fleet, key string) {
+	var sent sync.WaitGroup
+	for range 12 {
+		sent.Go(func() {
+			call{method: http.MethodGet, path: "/whistle/1", key: key}.send(http.DefaultClient, f.Entries()[0])
+		})
+	}
+	sent.Wait()
+}
