--- a/io/httpd/httpd_test.go
+++ b/io/httpd/httpd_test.go
@@ -20,13 +20,21 @@
 
 const testTimeout = 3 * time.Second
 
+type handler = func(ctx context.Context, r *http.Request) *httpd.Response
+
 // startServer starts a server with the handler and returns its address.
-func startServer(t *testing.T, configure func(*httpd.Server), handle func(ctx context.Context, r *http.Request) *httpd.Response) (string, *httpd.Server) {
+func startServer(t *testing.T, configure func(*httpd.Server), handle handler) (string, *httpd.Server) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveOn(t, l, configure, handle)
+}
+
+// serveOn starts a server on the listener.
+func serveOn(t *testing.T, l net.Listener, configure func(*httpd.Server), handle handler) (string, *httpd.Server) {
+	t.Helper()
 	s := httpd.New(l, slog.New(slog.DiscardHandler))
 	s.Handle = handle
 	s.DisableKeepAlives = func() bool { return false }
--- /dev/null
+++ b/io/httpd/reclaim_test.go
@@ -0,0 +1,96 @@
+package httpd_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayshift/io/httpd"
+)
+
+// scarce is a listener that accepts no connection while max of its connections are open, like a process without free file
+// descriptors.
+type scarce struct {
+	net.Listener
+	max  int64
+	open atomic.Int64
+}
+
+func (l *scarce) Accept() (net.Conn, error) {
+	if l.open.Load() >= l.max {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &scarceConn{Conn: c, listener: l}, nil
+}
+
+type scarceConn struct {
+	net.Conn
+	listener *scarce
+	closed   atomic.Bool
+}
+
+func (c *scarceConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.listener.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// TestIdleConnectionsDoNotKeepNewCallersWaiting guards against callers that wait unaccepted until their time is over,
+// because open connections on which nothing happens use up the descriptors.
+func TestIdleConnectionsDoNotKeepNewCallersWaiting(t *testing.T) {
+	const maxOpen, callers, maxWait = 20, 100, 100 * time.Millisecond
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address, _ := serveOn(t, &scarce{Listener: l, max: maxOpen}, nil, echo)
+	for range callers {
+		conn, reader := dial(t, address)
+		sentAt := time.Now()
+		_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		status, _ := readResponse(reader)
+		is.Equal(status, http.StatusOK)
+		is.True(time.Since(sentAt) < maxWait)
+	}
+}
+
+// TestConnectionsInUseAreNotReclaimed checks that a connection with a running request outlives the idle ones.
+func TestConnectionsInUseAreNotReclaimed(t *testing.T) {
+	const maxOpen, callers = 20, 60
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	release := make(chan struct{})
+	address, _ := serveOn(t, &scarce{Listener: l, max: maxOpen}, nil, func(_ context.Context, r *http.Request) *httpd.Response {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		return textResponse(http.StatusOK, "")
+	})
+	slow, slowReader := dial(t, address)
+	_, err = io.WriteString(slow, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	for range callers {
+		conn, reader := dial(t, address)
+		_, err := io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		status, _ := readResponse(reader)
+		is.Equal(status, http.StatusOK)
+	}
+	close(release)
+	status, _ := readResponse(slowReader)
+	is.Equal(status, http.StatusOK)
+}
