Do not send a request on once its caller has left

Cause: the host notices a caller's close only by reading the connection to its end, in another goroutine than the one that sends the request. When request and close have waited together (listener's queue, socket, a paused or starved host), the request is sent first. Class: work started on a fact that is stale by the time it was waited for.

Change: io/socket asks the socket itself for the close, also behind unread bytes; asked before a team's rate is charged and again when a connection to the server is open, right before the first byte, so that it covers each wait on the way: queue, rate, slot, connection, retry, hedge. On both paths: conns.Request.CallerLeft, and a guarded connection in io/target, as http.Transport has no such moment. A run with an idempotency key goes on as before.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -24,6 +24,8 @@
 var (
 	// ErrNotSent means that the connection could not be opened, so no byte of the request was sent.
 	ErrNotSent = merry.Sentinel("conns: request not sent")
+	// ErrCallerLeft means that Request.CallerLeft reported so before a byte of the request was sent.
+	ErrCallerLeft = merry.Sentinel("conns: caller left, request not sent")
 	// ErrBroken means that the connection broke or that no valid response was received; the server may have run the
 	// request.
 	ErrBroken = merry.Sentinel("conns: connection broken")
@@ -51,10 +53,11 @@
 	Host          string
 	Header        http.Header
 	Body          []byte
-	BodyStream    io.Reader // remainder of the body after Body; nil if Body is complete
-	ContentLength int64     // of the complete body in bytes, -1 for chunked encoding
-	ID            string    // request id, which the response must carry in Pool.IDHeader
-	AvoidStale    bool      // for requests that must not be lost: use no connection idle for longer than maxFreshIdleTime
+	BodyStream    io.Reader   // remainder of the body after Body; nil if Body is complete
+	ContentLength int64       // of the complete body in bytes, -1 for chunked encoding
+	ID            string      // request id, which the response must carry in Pool.IDHeader
+	CallerLeft    func() bool // asked once a connection is open, right before the request is sent; nil for a caller that stays
+	AvoidStale    bool        // for requests that must not be lost: use no connection idle for longer than maxFreshIdleTime
 }
 
 // Response is the response of a backend server. Its body is complete in Body unless BodyStream is set. The end of the
@@ -102,7 +105,7 @@
 
 // Do sends the request to the address and returns its response. The deadline applies to both dialing and the response.
 // connectTime is the time it took to open a connection, or zero if an idle connection was reused. The error is
-// ErrNotSent, ErrBroken or ErrTimeout. A request without an id gets a connection of its own, since its response could not
+// ErrNotSent, ErrCallerLeft, ErrBroken or ErrTimeout. A request without an id gets a connection of its own, since its response could not
 // be told from a late one to an earlier request.
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (resp *Response, connectTime time.Duration, err error) {
 	var c *conn
@@ -116,6 +119,10 @@
 		}
 		connectTime = time.Since(started)
 	}
+	if r.CallerLeft != nil && r.CallerLeft() {
+		p.putIdle(c)
+		return nil, connectTime, ErrCallerLeft
+	}
 	resp, err = p.roundTrip(ctx, c, r, deadline)
 	return resp, connectTime, err
 }
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -137,7 +137,7 @@
 
 // mayRetry reports whether the request may be sent to another server after an attempt ended with the reply.
 func (e *Edge) mayRetry(q *request, r *reply) bool {
-	if q.ctx.Err() != nil || time.Until(q.deadline) < minTimeLeft || q.running > 0 {
+	if r.outcome == outcomeCallerLeft || q.ctx.Err() != nil || time.Until(q.deadline) < minTimeLeft || q.running > 0 {
 		return false
 	}
 	if q.mayHaveRun && !q.idempotent() {
@@ -174,7 +174,8 @@
 	response, connectTime, err := e.deps.Pool.Do(ctx, server.Address, q.serverRequest(server.ID, deadline), deadline)
 	reply, outcome := e.classifyResponse(ctx, q, reservation, response, err)
 	outcome.ConnectTime = connectTime
-	return attemptResult{reply: reply, server: server.ID, sent: !errors.Is(err, conns.ErrNotSent)}, outcome
+	sent := !errors.Is(err, conns.ErrNotSent) && !errors.Is(err, conns.ErrCallerLeft)
+	return attemptResult{reply: reply, server: server.ID, sent: sent}, outcome
 }
 
 // classifyResponse returns the reply for a server's response or error, and the outcome for the balancer.
@@ -213,6 +214,8 @@
 // against the request, which may have crashed the server.
 func (e *Edge) classifyError(ctx context.Context, q *request, res *place.Reservation, err error) (*reply, place.Outcome) {
 	switch {
+	case errors.Is(err, conns.ErrCallerLeft):
+		return failedAttempt(outcomeCallerLeft, notSent), place.Outcome{Result: place.Canceled}
 	case ctx.Err() != nil:
 		status := mayHaveRun
 		if errors.Is(err, conns.ErrNotSent) {
@@ -266,7 +269,7 @@
 	}
 	r := conns.Request{
 		Method: q.r.Method, Target: q.r.URL.RequestURI(), Host: q.r.Host, Header: h, Body: q.body, ID: q.id(),
-		ContentLength: int64(len(q.body)), AvoidStale: !q.idempotent(),
+		ContentLength: int64(len(q.body)), CallerLeft: q.callerLeft, AvoidStale: !q.idempotent(),
 	}
 	if q.restOfBody != nil {
 		r.BodyStream, r.ContentLength = q.restOfBody, q.r.ContentLength
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -106,6 +106,9 @@
 	if e.deps.Poison.Refused(time.Now(), q.fingerprint()) {
 		return refusal(outcomePoison, http.StatusServiceUnavailable, poisonRetryAfter)
 	}
+	if q.callerLeft() {
+		return refusal(outcomeCallerLeft, http.StatusServiceUnavailable, defaultRetryAfter)
+	}
 	charge, ok, retryAfter := e.deps.Rates.Take(q.ctx, q.team)
 	q.charge = charge
 	if !ok {
--- a/io/edge/request.go
+++ b/io/edge/request.go
@@ -17,6 +17,7 @@
 	"jayshift/core/poison"
 	"jayshift/core/table"
 	"jayshift/io/rates"
+	"jayshift/io/socket"
 )
 
 const (
@@ -61,6 +62,9 @@
 
 func (q *request) idempotent() bool { return q.route.Idempotent() }
 
+// callerLeft reports whether the caller has closed its connection.
+func (q *request) callerLeft() bool { return q.ctx.Err() != nil || socket.CallerLeft(q.ctx) }
+
 // replayable reports whether the whole request is buffered and can be sent again.
 func (q *request) replayable() bool { return q.restOfBody == nil }
 
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -105,6 +105,12 @@
 func (e *Entry) handleError(q *request, s *route.Server, err error, started time.Time) (retry.Result, *problem) {
 	now := time.Now()
 	p := &problem{status: http.StatusBadGateway, kind: kindUnavailable, title: "backend server gave no answer", retryAfter: unavailableRetryAfter}
+	if errors.Is(err, target.ErrCallerLeft) {
+		s.End(now, route.Abandoned, 0)
+		p = callerGoneProblem()
+		p.notRun = !q.mayHaveRun
+		return retry.NotRun, p
+	}
 	if errors.Is(err, target.ErrNotSent) {
 		s.End(now, route.NoAnswer, 0)
 		if q.ctx.Err() == nil {
@@ -117,7 +123,7 @@
 	q.mayHaveRun = true
 	if q.abandoned() {
 		s.End(now, route.Abandoned, 0)
-		return retry.MayHaveRun, &problem{status: statusCallerGone, kind: kindCallerGone, title: "caller went away", noRetry: true}
+		return retry.MayHaveRun, callerGoneProblem()
 	}
 	s.End(now, route.NoAnswer, 0)
 	e.recordEvidence(q, s, true, now.Sub(started))
@@ -131,6 +137,10 @@
 	return retry.MayHaveRun, p
 }
 
+func callerGoneProblem() *problem {
+	return &problem{status: statusCallerGone, kind: kindCallerGone, title: "caller went away", noRetry: true}
+}
+
 // hasCrashed reports whether the error of an attempt shows that the backend server crashed. A timeout does not, because
 // the network may have failed. A reused connection that broke may have been closed by the server while it was idle, so
 // the server is probed with a new connection.
--- a/io/entry/request.go
+++ b/io/entry/request.go
@@ -14,6 +14,7 @@
 	"jayshift/core/dedup"
 	"jayshift/core/ident"
 	"jayshift/core/poison"
+	"jayshift/io/socket"
 )
 
 // Request headers from callers.
@@ -73,13 +74,15 @@
 // so that its outcome is known when the caller retries.
 func (q *request) baseContext() context.Context {
 	if q.recorded() {
-		return context.WithoutCancel(q.r.Context())
+		return socket.WithConn(context.WithoutCancel(q.r.Context()), nil)
 	}
 	return q.r.Context()
 }
 
-// abandoned reports whether the request was canceled because its caller disconnected.
-func (q *request) abandoned() bool { return !q.recorded() && q.r.Context().Err() != nil }
+// abandoned reports whether the request need not run on because its caller disconnected.
+func (q *request) abandoned() bool {
+	return !q.recorded() && (q.r.Context().Err() != nil || socket.CallerLeft(q.r.Context()))
+}
 
 // route returns the first routeSegments segments of the path, by which outcomes are grouped.
 func (q *request) route() string {
--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -57,6 +57,11 @@
 	if p := e.admit(q); p != nil {
 		return p
 	}
+	if q.abandoned() {
+		p := callerGoneProblem()
+		p.notRun = true
+		return p
+	}
 	if p := e.checkRateLimits(q); p != nil {
 		return p
 	}
--- a/io/host/servers.go
+++ b/io/host/servers.go
@@ -14,6 +14,7 @@
 	"jayshift/io/admin"
 	"jayshift/io/serve"
 	"jayshift/io/setup"
+	"jayshift/io/socket"
 )
 
 // listen opens the listeners of the four servers, by name, and writes their actual addresses to the settings. On an
@@ -59,11 +60,13 @@
 		Host: ident.Host(h.settings.Name), Store: h.Store, Log: h.log, Token: h.settings.OperatorToken,
 		Snapshot: h.Feed.Snapshot, SeatTable: h.Member.Table, Peers: h.Member.Peers, Verdict: h.Feed.Verdict, HomePartition: h.selectHomePartition,
 	})
+	callers := h.newServer(listeners["caller"], h.Entry)
+	callers.ConnContext = socket.WithConn
 	health := http.NewServeMux()
 	health.Handle("GET /metrics", h.meter)
 	health.HandleFunc("GET /healthz", h.healthz)
 	h.httpServers = []*khttp.Server{
-		h.newServer(listeners["caller"], h.Entry), h.newServer(listeners["operator"], operator),
+		callers, h.newServer(listeners["operator"], operator),
 		h.newServer(listeners["link"], h.linkMux()), serve.New(listeners["admin"], health),
 	}
 	serve.SetFrameworkLogger(h.log)
--- a/io/httpd/accept.go
+++ b/io/httpd/accept.go
@@ -66,22 +66,3 @@
 	}
 	return socket
 }
-
-// hasInput reports whether the caller has sent bytes that were not read yet.
-func hasInput(socket net.Conn) bool {
-	tcp, ok := socket.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	input := false
-	var b [1]byte
-	err = raw.Control(func(fd uintptr) {
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		input = err == nil && n > 0
-	})
-	return err == nil && input
-}
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"jayshift/io/socket"
 )
 
 const (
@@ -45,17 +47,17 @@
 }
 
 // newConn returns the connection for an accepted socket.
-func newConn(s *Server, socket net.Conn) *conn {
-	if tcp, ok := socket.(*net.TCPConn); ok {
+func newConn(s *Server, accepted net.Conn) *conn {
+	if tcp, ok := accepted.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2})
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(socket.WithConn(context.Background(), accepted))
 	first := make(chan struct{})
 	close(first)
-	limit := &io.LimitedReader{R: socket, N: math.MaxInt64}
+	limit := &io.LimitedReader{R: accepted, N: math.MaxInt64}
 	return &conn{
-		server: s, socket: socket, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize),
-		writer: bufio.NewWriterSize(socket, writeBufferSize), ctx: ctx, cancel: cancel, prevDone: first,
+		server: s, socket: accepted, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize),
+		writer: bufio.NewWriterSize(accepted, writeBufferSize), ctx: ctx, cancel: cancel, prevDone: first,
 		slots: make(chan struct{}, maxPipelined), acceptedAt: time.Now(),
 	}
 }
@@ -69,7 +71,7 @@
 // firstRequestTime for its first request.
 func (c *conn) closeIdle(now time.Time) bool {
 	isNew := !c.used.Load() && now.Sub(c.acceptedAt) < firstRequestTime
-	if isNew || c.reading.Load() || c.unanswered.Load() > 0 || c.lastSent.Load() || hasInput(c.socket) {
+	if isNew || c.reading.Load() || c.unanswered.Load() > 0 || c.lastSent.Load() || socket.HasInput(c.socket) {
 		return false
 	}
 	// The caller's bytes may have been read since the first check.
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -16,6 +16,7 @@
 	"jayshift/core/config"
 	"jayshift/core/ident"
 	"jayshift/core/route"
+	"jayshift/io/socket"
 )
 
 const (
@@ -33,6 +34,8 @@
 var (
 	// ErrNotSent means that no byte of the request was sent to the backend server.
 	ErrNotSent = merry.Sentinel("target: request not sent")
+	// ErrCallerLeft means that the caller had left before a byte of the request was sent.
+	ErrCallerLeft = merry.Sentinel("target: caller left, request not sent")
 	// ErrReusedConnBroken means that a reused connection broke before a response was received; the backend server may
 	// have run the request.
 	ErrReusedConnBroken = merry.Sentinel("target: reused connection broken")
@@ -96,7 +99,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
 	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxConnsPerHost: b.Slots + extraConns, MaxIdleConnsPerHost: b.Slots + extraConns,
+		DialContext: dialGuarded(dialer), MaxConnsPerHost: b.Slots + extraConns, MaxIdleConnsPerHost: b.Slots + extraConns,
 		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Target{State: route.NewServer(b), transport: transport}
@@ -110,22 +113,33 @@
 }
 
 // Do sends a request to a backend server and returns the response, whose body is not read yet. The error is ErrNotSent
-// if certainly no byte was sent, else ErrTimeout, ErrReusedConnBroken or ErrNewConnBroken.
+// if certainly no byte was sent, ErrCallerLeft if that is because the caller of the request's context had left, else ErrTimeout, ErrReusedConnBroken or ErrNewConnBroken.
 func (p *Pool) Do(name ident.BackendServer, r *http.Request) (*http.Response, error) {
 	t := p.target(name)
 	if t == nil {
 		return nil, ErrNotSent
 	}
-	var connected, reused atomic.Bool
+	var connected, reused, callerLeft atomic.Bool
+	ctx, cancel := context.WithCancel(r.Context())
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		if socket.CallerLeft(ctx) {
+			callerLeft.Store(true)
+			c.Conn.(*guardedConn).refuse()
+			cancel() // or the transport would try another connection
+			return
+		}
 		connected.Store(true)
 		reused.Store(c.Reused)
 	}}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
-	response, err := t.transport.RoundTrip(r)
-	switch {
-	case err == nil:
+	response, err := t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil {
+		response.Body = &cancelingBody{ReadCloser: response.Body, cancel: cancel}
 		return response, nil
+	}
+	defer cancel()
+	switch {
+	case callerLeft.Load():
+		return nil, ErrCallerLeft
 	case !connected.Load():
 		return nil, merry.Prepend(ErrNotSent, err.Error())
 	case r.Context().Err() != nil:
