Close idle connections of callers for new callers

Cause: callers that are refused come back on new connections and leave the old ones open; nothing bounded them, so idle ones used up the process's descriptors. Class: a shared resource without a part kept back for those who must go on.

While all are in use, a new one is closed unread at once. A log line, two gauges.

--- a/io/host/servers.go
+++ b/io/host/servers.go
@@ -60,7 +60,7 @@
 		Host: ident.Host(h.settings.Name), Store: h.Store, Log: h.log, Token: h.settings.OperatorToken,
 		Snapshot: h.Feed.Snapshot, SeatTable: h.Member.Table, Peers: h.Member.Peers, Verdict: h.Feed.Verdict, HomePartition: h.selectHomePartition,
 	})
-	callers := h.newServer(listeners["caller"], h.Entry)
+	callers := serve.NewLimited(listeners["caller"], h.Entry, socket.MaxCallers(h.settings.MaxDescriptors), h.serverOptions()...)
 	callers.ConnContext = socket.WithConn
 	health := http.NewServeMux()
 	health.Handle("GET /metrics", h.meter)
@@ -87,10 +87,14 @@
 
 // newServer returns an HTTP server for the listener. It uses TLS if the settings name a certificate.
 func (h *Host) newServer(l net.Listener, handler http.Handler) *khttp.Server {
+	return serve.New(l, handler, h.serverOptions()...)
+}
+
+func (h *Host) serverOptions() []khttp.ServerOption {
 	if h.certs == nil {
-		return serve.New(l, handler)
+		return nil
 	}
-	return serve.New(l, handler, khttp.TLSConfig(h.certs.ServerConfig()))
+	return []khttp.ServerOption{khttp.TLSConfig(h.certs.ServerConfig())}
 }
 
 // healthz answers 200 if the host may serve requests that are limited or need an API key, otherwise 503. The body contains
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -38,6 +38,7 @@
 	lastSent   atomic.Bool  // the last response was sent
 	reading    atomic.Bool  // a request is being read
 	used       atomic.Bool  // a request was read
+	active     atomic.Int64 // Unix nanoseconds of the last accepted, read or answered request
 	acceptedAt time.Time
 	slots      chan struct{} // semaphore of maxPipelined requests
 
@@ -55,13 +56,19 @@
 	first := make(chan struct{})
 	close(first)
 	limit := &io.LimitedReader{R: accepted, N: math.MaxInt64}
-	return &conn{
+	c := &conn{
 		server: s, socket: accepted, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize),
 		writer: bufio.NewWriterSize(accepted, writeBufferSize), ctx: ctx, cancel: cancel, prevDone: first,
 		slots: make(chan struct{}, maxPipelined), acceptedAt: time.Now(),
 	}
+	c.recordActivity()
+	return c
 }
 
+func (c *conn) recordActivity() { c.active.Store(time.Now().UnixNano()) }
+
+func (c *conn) lastActive() time.Time { return time.Unix(0, c.active.Load()) }
+
 func (c *conn) close() {
 	c.cancel()
 	_ = c.socket.Close()
@@ -227,6 +234,7 @@
 // handle handles a request and writes its response after those to all earlier requests.
 func (c *conn) handle(r *http.Request, turn <-chan struct{}, done chan struct{}, closeAfter bool) {
 	defer func() {
+		c.recordActivity()
 		c.unanswered.Add(-1)
 		c.server.running.Add(-1)
 		<-c.slots
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -16,6 +16,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"jayshift/io/panics"
+	"jayshift/io/socket"
 )
 
 const (
@@ -67,12 +68,17 @@
 	Limits func() Limits
 	// DisableKeepAlives reports whether each connection is closed after its next response.
 	DisableKeepAlives func() bool
-	Log               *slog.Logger
+	// MaxConns is the number of connections that are kept open, 0 for no limit. Beyond it the longest idle one is closed for
+	// a new one, and a new one without reading from it while all are in use.
+	MaxConns int
+	Log      *slog.Logger
 
 	listener    net.Listener
 	acceptEnded chan struct{} // closed once no further connection is accepted
 	stopping    atomic.Bool
 	running     atomic.Int64
+	reclaimed   atomic.Int64 // idle connections closed for new ones
+	turnedAway  atomic.Int64 // new connections closed because all were in use
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -86,23 +92,43 @@
 // Start accepts connections until Stop is called. It ignores its context and always returns nil.
 func (s *Server) Start(context.Context) error {
 	defer close(s.acceptEnded)
+	room := &socket.Room{Max: s.MaxConns, Open: s.Connections, CloseIdle: s.closeLongestIdle}
 	for {
-		socket, err := s.listener.Accept()
-		if err == nil {
-			s.serveConn(socket)
-			continue
-		}
-		if s.stopping.Load() {
+		accepted, err := s.listener.Accept()
+		switch {
+		case err == nil && room.Admit():
+			s.serveConn(accepted)
+		case err == nil:
+			s.turnedAway.Add(1)
+			_ = accepted.Close()
+		case s.stopping.Load():
 			s.closeListener()
 			return nil
+		case !room.AfterError(err):
+			s.Log.Warn("connection not accepted", "error", err.Error())
+			time.Sleep(acceptRetryDelay)
 		}
-		s.Log.Warn("connection not accepted", "error", err.Error())
-		time.Sleep(acceptRetryDelay)
 	}
 }
 
-func (s *Server) serveConn(socket net.Conn) {
-	c := newConn(s, socket)
+// closeLongestIdle closes up to n idle connections, those that were idle for longest first, and returns how many.
+func (s *Server) closeLongestIdle(n int) int {
+	var idle []socket.Idle
+	for _, c := range s.openConns() {
+		if c.unanswered.Load() == 0 {
+			idle = append(idle, socket.Idle{Since: c.lastActive(), Close: func() bool { return s.closeIfIdle(c) }})
+		}
+	}
+	closed := socket.CloseLongestIdle(idle, n)
+	s.reclaimed.Add(int64(closed))
+	if closed > 0 {
+		s.Log.Info("idle connections closed for new callers", "closed", closed, "open", s.Connections())
+	}
+	return closed
+}
+
+func (s *Server) serveConn(accepted net.Conn) {
+	c := newConn(s, accepted)
 	s.track(c, true)
 	go c.serve()
 }
@@ -144,6 +170,18 @@
 	return len(s.conns)
 }
 
+func (s *Server) closeIfIdle(c *conn) bool {
+	closed := c.closeIdle(time.Now())
+	if closed {
+		s.track(c, false)
+	}
+	return closed
+}
+
+// Reclaimed returns the number of idle connections that were closed for new ones, and of new ones that were closed because
+// all others were in use.
+func (s *Server) Reclaimed() (idle, turnedAway int64) { return s.reclaimed.Load(), s.turnedAway.Load() }
+
 // Stop accepts the connections that callers have already opened, closes the listener and idle connections, and waits for
 // running requests. If the context ends first, it closes all connections and returns ErrRequestsAborted.
 func (s *Server) Stop(ctx context.Context) error {
--- a/io/httpd/reclaim_test.go
+++ b/io/httpd/reclaim_test.go
@@ -1,6 +1,7 @@
 package httpd_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -94,3 +95,49 @@
 	status, _ := readResponse(slowReader)
 	is.Equal(status, http.StatusOK)
 }
+
+// TestCallersLeaveDescriptorsToOthers checks that callers' connections stay below MaxConns, and that a caller beyond it is
+// turned away at once while all of them are in use.
+func TestCallersLeaveDescriptorsToOthers(t *testing.T) {
+	const maxConns, callers = 20, 60
+	is := is.New(t)
+	release := make(chan struct{})
+	running := make(chan struct{}, maxConns)
+	address, s := startServer(t, func(s *httpd.Server) { s.MaxConns = maxConns }, func(_ context.Context, r *http.Request) *httpd.Response {
+		if r.URL.Path == "/slow" {
+			running <- struct{}{}
+			<-release
+		}
+		return textResponse(http.StatusOK, "")
+	})
+	ask := func(path string) (net.Conn, *bufio.Reader) {
+		conn, reader := dial(t, address)
+		_, _ = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		return conn, reader
+	}
+	for range callers {
+		_, reader := ask("/fast")
+		status, _ := readResponse(reader)
+		is.Equal(status, http.StatusOK)
+		is.True(s.Connections() <= maxConns)
+	}
+	var slow []*bufio.Reader
+	for range maxConns {
+		_, reader := ask("/slow")
+		<-running
+		slow = append(slow, reader)
+	}
+	sentAt := time.Now()
+	_, reader := ask("/fast")
+	_, err := reader.ReadByte()
+	is.True(err != nil)
+	is.True(time.Since(sentAt) < 100*time.Millisecond)
+	close(release)
+	for _, reader := range slow {
+		status, _ := readResponse(reader)
+		is.Equal(status, http.StatusOK)
+	}
+	idle, turnedAway := s.Reclaimed()
+	is.True(idle >= callers-maxConns)
+	is.Equal(turnedAway, int64(1))
+}
--- a/io/node/lifecycle.go
+++ b/io/node/lifecycle.go
@@ -15,6 +15,7 @@
 	"jayshift/io/httpd"
 	"jayshift/io/peer"
 	"jayshift/io/serve"
+	"jayshift/io/socket"
 )
 
 const (
@@ -46,6 +47,7 @@
 	linkMux.HandleFunc("GET "+peer.CopyPath, n.peers.ServeCopy)
 	n.callerServer = httpd.New(listeners["caller"], n.log)
 	n.callerServer.Handle, n.callerServer.DisableKeepAlives, n.callerServer.Limits = n.edge.Serve, n.leaving.Load, n.limits
+	n.callerServer.MaxConns = socket.MaxCallers(n.settings.MaxDescriptors)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", n.meter)
 	servers := []transport.Server{
--- a/io/node/meter.go
+++ b/io/node/meter.go
@@ -18,6 +18,8 @@
 	}{
 		{"jayshift.edge.in.flight", "Requests that run.", func() float64 { return float64(n.edge.InFlight()) }},
 		{"jayshift.edge.connections", "Connections of callers.", func() float64 { return float64(n.callerServer.Connections()) }},
+		{"jayshift.edge.connections.reclaimed", "Idle connections of callers closed for new ones.", n.reclaimedConnections},
+		{"jayshift.edge.connections.turned.away", "New connections of callers closed while all were in use.", n.turnedAwayConnections},
 		{"jayshift.edge.opened", "Connections opened to backend servers.", func() float64 { return float64(n.pool.Opened()) }},
 		{"jayshift.edge.configuration", "Version of the configuration in force.", n.configVersion},
 		{"jayshift.edge.revision", "Store revision up to which all changes are known.", func() float64 { return float64(n.watch.Revision()) }},
@@ -34,6 +36,16 @@
 	return m, nil
 }
 
+func (n *Node) reclaimedConnections() float64 {
+	idle, _ := n.callerServer.Reclaimed()
+	return float64(idle)
+}
+
+func (n *Node) turnedAwayConnections() float64 {
+	_, turnedAway := n.callerServer.Reclaimed()
+	return float64(turnedAway)
+}
+
 func (n *Node) configVersion() float64 {
 	if t := n.watch.Table(); t != nil {
 		return float64(t.Version)
--- a/io/setup/edge.go
+++ b/io/setup/edge.go
@@ -31,6 +31,7 @@
 	Seeds             []string // link addresses to try while the store is unavailable and no peer is known
 	Bounds            string   // limits set by the platform, in its own name=value format
 	MemoryMB          int      // memory that the process may use
+	MaxDescriptors    int      // file descriptors that the process may use
 	BodyBufferMB      int      // memory for the bodies of large responses
 	LogLevel          slog.Level
 }
@@ -46,6 +47,7 @@
 	{"host", "availability-zone", required, "", "Availability zone that the host stands in.", nameField(func(s *EdgeSettings) *string { return &s.Zone })},
 	{"host", "region", required, "", "Region of the availability zone.", nameField(func(s *EdgeSettings) *string { return &s.Region })},
 	{"host", "memory-mb", "256", "MB", "Memory that the process may use; the collector keeps below it.", countField(func(s *EdgeSettings) *int { return &s.MemoryMB })},
+	{"host", "max-descriptors", "4096", "count", "File descriptors that the process may use; callers' connections leave a part of them to others.", countField(func(s *EdgeSettings) *int { return &s.MaxDescriptors })},
 	{"host", "body-buffer-mb", "24", "MB", "Memory for the bodies of large responses; beyond it they are streamed and not retried.", countField(func(s *EdgeSettings) *int { return &s.BodyBufferMB })},
 	{"listen", "caller", required, "address", "Where callers send requests.", addressField(func(s *EdgeSettings) *string { return &s.CallerAddress })},
 	{"listen", "directory", required, "address", "Where callers ask which hosts to use.", addressField(func(s *EdgeSettings) *string { return &s.DirectoryAddress })},
--- a/io/setup/setting.go
+++ b/io/setup/setting.go
@@ -55,6 +55,7 @@
 	{"requests", "longest", "30s", "time", "Longest time that any request may run.", durationField(func(s *Settings) *time.Duration { return &s.MaxRequestTime })},
 	{"requests", "drain", "60s", "time", "How long a stopping host waits for its requests.", durationField(func(s *Settings) *time.Duration { return &s.DrainTimeout })},
 	{"requests", "capacity", "2000", "requests", "Requests that the host runs at the same time.", countField(func(s *Settings) *int { return &s.Capacity })},
+	{"requests", "max-descriptors", "4096", "count", "File descriptors that the process may use; callers' connections leave a part of them to others.", countField(func(s *Settings) *int { return &s.MaxDescriptors })},
 	{"operator", "token-file", "", "file", "File with the token that operators show; required off loopback.", fileContentField(func(s *Settings) *string { return &s.OperatorToken })},
 	{"tls", "certificate", "", "file", "PEM certificate for the listen addresses, reread on change.", pathField(func(s *Settings) *string { return &s.CertificateFile })},
 	{"tls", "key", "", "file", "PEM key of the certificate.", pathField(func(s *Settings) *string { return &s.KeyFile })},
--- a/io/setup/settings.go
+++ b/io/setup/settings.go
@@ -42,6 +42,7 @@
 	MaxRequestTime    time.Duration     // longest time that a request may run
 	DrainTimeout      time.Duration     // how long a stopping host waits for running requests
 	Capacity          int               // maximum number of concurrent requests
+	MaxDescriptors    int               // file descriptors that the process may use
 	OperatorToken     string            // empty if operators need no token
 	CertificateFile   string            // PEM file, empty without TLS
 	KeyFile           string            // PEM file, empty without TLS
