--- a/io/entry/serve.go
+++ b/io/entry/serve.go
@@ -9,6 +9,7 @@
 	"jayshift/core/dedup"
 	"jayshift/core/ident"
 	"jayshift/io/runs"
+	"jayshift/io/socket"
 )
 
 // serve proxies one request to a backend server, or responds with a problem. If the response was cut off, it panics with
@@ -28,6 +29,9 @@
 	ctx, cancel := context.WithDeadline(q.baseContext(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
+	if !q.recorded() {
+		defer socket.WatchCaller(ctx, cancel)()
+	}
 	defer e.observe(q)
 	if p := e.handle(q); p != nil {
 		q.outcome = p.kind
--- a/io/host/gone_test.go
+++ b/io/host/gone_test.go
@@ -1,7 +1,9 @@
 package host_test
 
 import (
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"jayshift/internal/depart"
+	"jayshift/internal/fake"
 	"jayshift/internal/fleet"
 )
 
@@ -54,3 +57,37 @@
 	}
 	sent.Wait()
 }
+
+// TestLeavingIsNoticedBehindUnreadBytes guards against requests that run on for a caller that has left, because bytes that
+// it sent before are not read yet.
+func TestLeavingIsNoticedBehindUnreadBytes(t *testing.T) {
+	const leftFor = 500 * time.Millisecond // as long as a request may run on for a caller that has left
+	f, key, _ := startFleet(t, singleService("v1"))
+	setBehaviour(f, func(b *fake.Behaviour) { b.Silent = true })
+	head := " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + key + "\r\n"
+	for name, c := range map[string]struct{ request, whileItRuns string }{
+		"bytes with the request":  {"GET /whistle/1" + head + "\r\nGET", ""},
+		"bytes while it runs":     {"GET /whistle/1" + head + "\r\n", "GET /whistle/2" + head + "\r\n"},
+		"body of which part came": {"POST /whistle/1" + head + "Content-Length: 400000\r\n\r\n" + strings.Repeat("x", 300000), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			conn, err := net.Dial("tcp", f.Entries()[0])
+			is.NoErr(err)
+			_, err = conn.Write([]byte(c.request))
+			is.NoErr(err)
+			eventually(t, "the request runs", func() bool { return running(f) == 1 })
+			_, err = conn.Write([]byte(c.whileItRuns))
+			is.NoErr(err)
+			is.NoErr(conn.Close())
+			time.Sleep(leftFor)
+			is.Equal(running(f), 0)
+		})
+	}
+}
+
+// running returns the number of requests that run at the first host.
+func running(f *fleet.Fleet) int {
+	n, _, _ := f.Hosts[0].Entry.Load()
+	return n
+}
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -121,7 +121,7 @@
 		c.mu.Lock()
 		done := c.prevDone
 		c.mu.Unlock()
-		c.wait(done) // the caller has sent more data, which stays unread
+		c.waitUnread(done) // the caller has sent more data, which stays unread
 	}
 	c.linger()
 }
@@ -129,9 +129,7 @@
 // awaitRequest waits for a free slot and for the first byte of the next request. It returns false when the connection
 // has ended or was idle for too long.
 func (c *conn) awaitRequest() bool {
-	select {
-	case c.slots <- struct{}{}:
-	case <-c.ctx.Done():
+	if !c.takeSlot() {
 		return false
 	}
 	c.limit.N = math.MaxInt64
@@ -148,12 +146,28 @@
 	}
 }
 
+// takeSlot waits for a free slot. It returns false when the connection has ended.
+func (c *conn) takeSlot() bool {
+	select {
+	case c.slots <- struct{}{}:
+		return true
+	default:
+	}
+	defer socket.Watch(c.socket, c.close)()
+	select {
+	case c.slots <- struct{}{}:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
 // reject responds with the status to a request that could not be read, after the responses to all earlier requests, and
 // closes the connection.
 func (c *conn) reject(status int) {
 	turn, done := c.takeTurn()
 	defer close(done)
-	c.wait(turn)
+	c.waitUnread(turn)
 	_ = c.write(&Response{Status: status, Header: http.Header{}, ContentLength: 0}, "HTTP/1.1", true)
 	c.lastSent.Store(true)
 	c.linger()
@@ -196,6 +210,12 @@
 	}
 }
 
+// waitUnread is wait for when nothing else reads the connection, so that the caller's close is noticed meanwhile.
+func (c *conn) waitUnread(turn <-chan struct{}) {
+	defer socket.Watch(c.socket, c.close)()
+	c.wait(turn)
+}
+
 // startRequest starts handling a request and waits for its body to be consumed. It reports whether another request may
 // be read.
 func (c *conn) startRequest(r *http.Request) (keepReading bool) {
@@ -216,6 +236,7 @@
 	}
 	go c.handle(r, turn, done, closeAfter)
 	// The next request follows the body on the connection, so it can be read only after the end of the body.
+	defer socket.Watch(c.socket, c.close)()
 	select {
 	case <-body.ended:
 	case <-done:
