Hold what all edge hosts send to a server to the limit that it names

Cause: the header was not read. Class: a limit that is the whole fleet's, met by hosts that each decide alone; reading it at each host would still send ten times as much.

Change: core/limit, pure. Rendezvous hashing over the active hosts of the server's region chooses who sends, no more hosts than requests a second; each has an equal part, the others send nothing, and nobody asks before it sends. A host sends only if it was chosen in all its views of the last 2 s, so a start, a return or a takeover adds nothing. 0.9 of the limit is used, 0.7 for 10 s after a change of the hosts, so that two sides of a cut stay near it together. Hosts tell in their heartbeats what they have seen in answers; a limit ends by an answer without one or with the server's process. If nobody hears of an answer, hosts try, all together 0.15 of the limit. core/place skips such servers, refuses with the reason "limited" and a time to come back, and gives them no objects. Log lines for each change.

Ruled out: counting at one host as for small teams (a wait on each request, and the counter's loss), parts by demand (each change of the parts overlaps for a heartbeat; with limits under one request a host that is most of the limit).

--- a/core/place/pick.go
+++ b/core/place/pick.go
@@ -24,6 +24,7 @@
 	if srv := chosen.server; q.Object != "" && srv.Region == b.settings.Location.Region {
 		p.objects.observe(now, q.Object).crossZoneCost += b.settings.Weights.transferCost(b.settings.Location, srv, q.Bytes)
 	}
+	b.settings.Limits.Take(now, chosen.server.limitKey())
 	return p.reserve(now, q, chosen, b.settings.Weights.QueuePerSlot), nil
 }
 
@@ -56,14 +57,14 @@
 	best        candidate                  // of all servers
 	byRegion    map[ident.Region]candidate // the cheapest server in each region
 	fallback    candidate                  // the paused server whose pause ends first, if best is empty
-	localUsable bool                       // an eligible local server is neither paused nor cold, but may be full
+	localUsable bool                       // an eligible local server is neither paused nor cold nor limited, but may be full
 	refusal     *Refusal
 }
 
 // cheapest compares all servers that may run the request. The pool must be locked.
 func (p *pool) cheapest(now time.Time, q Query, settings *Settings) selection {
 	s := selection{byRegion: map[ident.Region]candidate{}, refusal: &Refusal{Reason: NoServer, RetryAfter: noServerRetryAfter}}
-	assigned := p.assignedServers(now, q, settings.Location)
+	assigned := p.assignedServers(now, q, settings)
 	rt := p.runTimeOf(q.Route)
 	for _, srv := range p.servers {
 		if !srv.eligible(q) {
@@ -72,7 +73,8 @@
 		srv.decayLoad(now)
 		c := p.estimate(now, q, settings, srv, rt, assigned)
 		paused := now.Before(srv.pausedUntil) || srv.probing
-		s.localUsable = s.localUsable || srv.Region == settings.Location.Region && !paused && !srv.isCold(now)
+		_, limited := settings.Limits.Named(srv.limitKey())
+		s.localUsable = s.localUsable || srv.Region == settings.Location.Region && !paused && !limited && !srv.isCold(now)
 		if reason, retryAfter := p.exclusion(now, q, settings, c); reason != "" {
 			s.refusal.add(reason, retryAfter)
 			continue
@@ -160,6 +162,9 @@
 	if excess := srv.load() + 1 - float64(srv.Slots); excess > 0 && now.Add(c.latency).After(q.Started.Add(q.LatencyTarget)) {
 		return Full, p.timeToFinish(srv, excess, c.run)
 	}
+	if wait := settings.Limits.Wait(now, srv.limitKey()); wait > 0 {
+		return Limited, wait
+	}
 	if srv.isCold(now) && (!srv.hasColdToken(now) || !settings.WarmsUp(srv.ID)) {
 		return Cold, srv.ColdUntil.Sub(now)
 	}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/roster"
 )
 
@@ -75,6 +76,8 @@
 	Weights  Weights
 	// Random returns a number in [0, n). It spreads requests over servers of equal cost; rand.Int64N if nil.
 	Random func(n int64) int64
+	// Limits holds the limits that backend servers have named; without limits if nil.
+	Limits *limit.Limiter
 	// WarmsUp reports whether this host is the one that sends requests to the server while it is cold.
 	WarmsUp func(ident.BackendServer) bool
 }
@@ -102,6 +105,9 @@
 	if s.Random == nil {
 		s.Random = rand.Int64N
 	}
+	if s.Limits == nil {
+		s.Limits = limit.New("", time.Now(), rand.Float64)
+	}
 	return &Balancer{settings: s, regions: newRegionLimiter(), pools: map[ident.Service]*pool{}}
 }
 
--- a/core/place/refusal.go
+++ b/core/place/refusal.go
@@ -9,6 +9,7 @@
 const (
 	NoServer Reason = "no-server" // no eligible server runs the service and version in an allowed region
 	Cold     Reason = "cold"      // eligible servers are cold and get no more requests for now
+	Limited  Reason = "limited"   // eligible servers take no more requests than they have named as their limit
 	Late     Reason = "late"      // the response would arrive after the deadline
 	Full     Reason = "full"      // as many requests as allowed run or wait at the eligible servers
 )
@@ -18,7 +19,7 @@
 	minRetryAfter      = 50 * time.Millisecond
 )
 
-var precedence = map[Reason]int{NoServer: 0, Cold: 1, Late: 2, Full: 3}
+var precedence = map[Reason]int{NoServer: 0, Cold: 1, Limited: 2, Late: 3, Full: 4}
 
 // Refusal is why no server can take a request, and when to retry. If servers differ, the reason of the highest
 // precedence counts, with the shortest time among servers of that reason.
--- a/core/place/rendezvous.go
+++ b/core/place/rendezvous.go
@@ -9,7 +9,7 @@
 )
 
 // assignedServers returns the servers to which rendezvous hashing assigns the object, one in each group.
-func (p *pool) assignedServers(now time.Time, q Query, local Location) []*server {
+func (p *pool) assignedServers(now time.Time, q Query, settings *Settings) []*server {
 	if q.Object == "" {
 		return nil
 	}
@@ -17,6 +17,7 @@
 		server *server
 		score  uint64
 	}
+	local := settings.Location
 	byZone := p.assignsByZone(now, q, local)
 	objectHash := xxhash.Sum64String(string(q.Object))
 	groups := map[group]best{}
@@ -24,6 +25,9 @@
 		if !srv.eligible(Query{Version: q.Version, AllowedRegions: q.AllowedRegions, Restricted: q.Restricted}) || srv.isCold(now) {
 			continue
 		}
+		if _, limited := settings.Limits.Named(srv.limitKey()); limited {
+			continue
+		}
 		g := group{region: srv.Region}
 		if byZone && srv.Region == local.Region {
 			g.zone = srv.Zone
--- a/core/place/server.go
+++ b/core/place/server.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/roster"
 )
 
@@ -55,6 +56,10 @@
 	}
 }
 
+func (s *server) limitKey() limit.Server {
+	return limit.Server{ID: s.ID, Start: s.StartMillis, Region: s.Region}
+}
+
 func (s *server) rtt() time.Duration {
 	if s.minRTT == 0 {
 		return assumedRTT
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -176,6 +176,14 @@
 	}
 }
 
+// Has reports whether the process of a backend server is registered.
+func (r *Roster) Has(id ident.BackendServer, startMillis int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry, ok := r.entries[id]
+	return ok && entry.StartMillis == startMillis
+}
+
 // List returns all servers, ordered by id.
 func (r *Roster) List() []Entry {
 	r.mu.Lock()
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -101,6 +101,9 @@
 	// True once the host was told to stop.
 	Leaving bool `json:"leaving" cbor:"leaving"`
 
+	// Limits that backend servers have named in answers to the host.
+	Limits []LimitReport `json:"limits,omitempty,omitzero" cbor:"limits,omitempty"`
+
 	// Number of requests that run on replaced backend versions, by service.
 	Old EdgeHeartbeatOld `json:"old,omitempty,omitzero" cbor:"old,omitempty"`
 
@@ -315,6 +318,22 @@
 	Team string `json:"team" cbor:"team"`
 }
 
+// What a host has seen of the limit that a backend server names in its answers.
+type LimitReport struct {
+	// Name of the backend server.
+	BackendServer string `json:"backend-server" cbor:"backend-server"`
+
+	// Rises with each answer that the report stands for.
+	Number int `json:"number" cbor:"number"`
+
+	// Requests per second that the backend server takes from all hosts together; 0 if
+	// it names no limit any more.
+	Rate float64 `json:"rate" cbor:"rate"`
+
+	// Start of the backend server's process, in Unix milliseconds; 0 if unknown.
+	Start int `json:"start" cbor:"start"`
+}
+
 // The capacity of the network link from one region to another.
 type Link struct {
 	// Bytes per second that requests and responses may use.
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/place"
+	"jayshift/core/roster"
 	"jayshift/io/conns"
 	"jayshift/io/panics"
 )
@@ -171,13 +173,30 @@
 func (e *Edge) send(ctx context.Context, q *request, reservation *place.Reservation) (attemptResult, place.Outcome) {
 	server := &reservation.Server
 	deadline := q.deadline.Add(-replyMargin)
+	sentAt := time.Now()
 	response, connectTime, err := e.deps.Pool.Do(ctx, server.Address, q.serverRequest(server.ID, deadline), deadline)
 	reply, outcome := e.classifyResponse(ctx, q, reservation, response, err)
+	if response != nil && (response.Header.Get(q.protocol.Signature) != "" || outcome.Result == place.Shed) {
+		e.recordLimit(server, sentAt, response.Header.Get(q.protocol.Limit))
+	}
 	outcome.ConnectTime = connectTime
 	sent := !errors.Is(err, conns.ErrNotSent) && !errors.Is(err, conns.ErrCallerLeft)
 	return attemptResult{reply: reply, server: server.ID, sent: sent}, outcome
 }
 
+// recordLimit records the limit that a server's response names, empty for none. A text that names no rate is ignored.
+func (e *Edge) recordLimit(server *roster.Server, sentAt time.Time, text string) {
+	rate := limit.Rate(0)
+	if text != "" {
+		var err error
+		if rate, err = limit.ParseRate(text); err != nil {
+			return
+		}
+	}
+	key := limit.Server{ID: server.ID, Start: server.StartMillis, Region: server.Region}
+	e.deps.Limits.RecordAnswer(time.Now(), key, sentAt, rate)
+}
+
 // classifyResponse returns the reply for a server's response or error, and the outcome for the balancer.
 func (e *Edge) classifyResponse(ctx context.Context, q *request, res *place.Reservation, response *conns.Response, err error) (*reply, place.Outcome) {
 	if err != nil {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/place"
 	"jayshift/core/poison"
 	"jayshift/core/retry"
@@ -29,6 +30,7 @@
 	Log      *slog.Logger
 	Table    func() *table.Table // returns nil while no configuration is known
 	Balancer *place.Balancer
+	Limits   *limit.Limiter
 	Pool     *conns.Pool
 	Rates    *rates.Limiter
 	Poison   *poison.Detector
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/place"
 	"jayshift/core/poison"
 	"jayshift/core/quota"
@@ -131,7 +132,9 @@
 		},
 		Teams: []table.Team{{Name: "north", Keys: []string{"k"}}, {Name: "tiny", Keys: []string{"t"}, Rate: 0.001, Burst: 1}},
 	})
+	limits := limit.New("a", time.Now(), func() float64 { return 0 })
 	balancer := place.New(place.Settings{
+		Limits:   limits,
 		Location: place.Location{Zone: "z", Region: "r"}, Weights: place.DefaultWeights(),
 		WarmsUp: func(ident.BackendServer) bool { return true }, Random: func(int64) int64 { return 0 },
 	})
@@ -150,7 +153,7 @@
 	}
 	balancer.Update(entries, func(ident.Service) float64 { return 0 })
 	f.edge = edge.New(edge.Deps{
-		Protocol: protocol, Log: slog.New(slog.DiscardHandler), Table: func() *table.Table { return f.table }, Balancer: balancer,
+		Protocol: protocol, Log: slog.New(slog.DiscardHandler), Table: func() *table.Table { return f.table }, Balancer: balancer, Limits: limits,
 		Pool: conns.New(protocol.RequestID, 1<<20), Rates: rates.New(rates.Deps{Self: "a", Quota: f.quota, Counters: func() []ident.Host { return nil }, Now: time.Now}), Poison: poison.New(), RetryRatio: 1, RetrySlack: 100,
 		HostCount: func() int { return 1 }, Version: func(ident.Service) ident.Version { return "" },
 		RecordOutcome:   func(roster.Server, ident.Route, bool, float64) {},
--- a/io/edge/protocol.go
+++ b/io/edge/protocol.go
@@ -17,6 +17,7 @@
 	Signature      string // marks a response that a backend server produced
 	NotRun         string // set in a response if the server did not run the request
 	Load           string // load of the backend server, in a response
+	Limit          string // requests per second that the backend server takes from all hosts together, in a response
 	// ParseLoad parses the value of the Load header. It returns false if the value is missing or invalid.
 	ParseLoad func(string) (place.Load, bool)
 	// Key returns the caller's API key from the request headers, empty if there is none.
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -6,6 +6,7 @@
 
 	"jayshift/core/elect"
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/poison"
 	"jayshift/core/quota"
 	"jayshift/core/roster"
@@ -21,10 +22,12 @@
 
 func (n *Node) heartbeat() wire.EdgeHeartbeat {
 	n.quota.SetCounters(quota.Counters{Hosts: n.peers.ActiveRegions(time.Now()), Counts: n.countsTeam()})
+	now := time.Now()
+	n.updateLimits(now)
 	names, sum := n.quota.TeamNames()
 	h := wire.EdgeHeartbeat{
 		Ready: n.ready(), Leaving: n.leaving.Load(), Reads: !n.watch.StoreLost(), Revision: int(n.watch.Revision()),
-		Teams: sum, Usage: quota.Encode(names, n.quota.ReportUsage(time.Now())),
+		Teams: sum, Usage: quota.Encode(names, n.quota.ReportUsage(now)), Limits: n.limitReports(now),
 	}
 	if t := n.watch.Table(); t != nil {
 		h.Version = int(t.Version)
@@ -40,14 +43,16 @@
 	return h
 }
 
-// recordPeerUsage records the team usage in a peer's heartbeat. While the two hosts know different teams, the usage cannot
+// recordPeer records the limits of backend servers and the team usage in a peer's heartbeat. While the two hosts know different teams, the usage cannot
 // be decoded, and the heartbeat only shows that the peer is alive.
-func (n *Node) recordPeerUsage(host ident.Host, h wire.EdgeHeartbeat) {
+func (n *Node) recordPeer(host ident.Host, h wire.EdgeHeartbeat) {
 	names, sum := n.quota.TeamNames()
 	if h.Teams != sum {
 		names = nil
 	}
-	n.quota.RecordPeerUsage(time.Now(), host, quota.Decode(names, h.Usage))
+	now := time.Now()
+	n.quota.RecordPeerUsage(now, host, quota.Decode(names, h.Usage))
+	n.limits.RecordReports(now, host, limit.Decode(h.Limits))
 }
 
 // handleFrame processes a frame from a peer and returns the response frame, nil for none.
--- a/io/node/lifecycle.go
+++ b/io/node/lifecycle.go
@@ -46,7 +46,7 @@
 	linkMux.Handle("GET /v1/link", n.mesh)
 	linkMux.HandleFunc("GET "+peer.CopyPath, n.peers.ServeCopy)
 	n.callerServer = httpd.New(listeners["caller"], n.log)
-	n.callerServer.Handle, n.callerServer.DisableKeepAlives, n.callerServer.Limits = n.edge.Serve, n.leaving.Load, n.limits
+	n.callerServer.Handle, n.callerServer.DisableKeepAlives, n.callerServer.Limits = n.edge.Serve, n.leaving.Load, n.callerLimits
 	n.callerServer.MaxConns = socket.MaxCallers(n.settings.MaxDescriptors)
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", n.meter)
@@ -63,8 +63,8 @@
 	)
 }
 
-// limits returns the limits for callers' connections in the configuration in force.
-func (n *Node) limits() httpd.Limits {
+// callerLimits returns the limits for callers' connections in the configuration in force.
+func (n *Node) callerLimits() httpd.Limits {
 	t := n.watch.Table()
 	if t == nil {
 		return httpd.Limits{}
--- /dev/null
+++ b/io/node/limits.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"time"
+
+	"jayshift/core/ident"
+	"jayshift/core/limit"
+	"jayshift/core/wire"
+)
+
+// updateLimits passes the active hosts and the known backend servers on to the limits that servers have named.
+func (n *Node) updateLimits(now time.Time) {
+	var hosts []limit.Host
+	if !n.leaving.Load() {
+		hosts = append(hosts, limit.Host{Name: ident.Host(n.settings.Name), Region: ident.Region(n.settings.Region)})
+	}
+	for _, p := range n.peers.Active(now) {
+		hosts = append(hosts, limit.Host{Name: p.Host, Region: p.Region})
+	}
+	n.limits.SetHosts(now, hosts)
+	n.limits.Retain(now, n.watch.HasServer)
+}
+
+// limitReports returns the limits that this host has seen in answers, for its heartbeat.
+func (n *Node) limitReports(now time.Time) []wire.LimitReport {
+	return limit.Encode(n.limits.Reports(now))
+}
+
+// logLimit logs that a backend server names another limit than before, zero for none, and which host has seen it.
+func (n *Node) logLimit(server ident.BackendServer, rate limit.Rate, from ident.Host) {
+	if rate == 0 {
+		n.log.Info("backend server names no limit any more", "backend-server", string(server), "seen-by", string(from))
+		return
+	}
+	n.log.Info("backend server names a limit", "backend-server", string(server), "per-second", float64(rate), "seen-by", string(from))
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 
 	"jayshift/core/canary"
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/place"
 	"jayshift/core/poison"
 	"jayshift/core/quota"
@@ -76,6 +78,7 @@
 	balancer *place.Balancer
 	quota    *quota.Limiter
 	rates    *rates.Limiter
+	limits   *limit.Limiter
 	poison   *poison.Detector
 	evidence *canary.Evidence
 	gate     *canary.Gate
@@ -127,7 +130,7 @@
 		SetLinks: n.mesh.SetPeers, Linked: n.mesh.LinkedHosts, Send: n.mesh.Send, Reply: n.mesh.Reply,
 		Heartbeat: n.heartbeat, Evidence: n.evidence.TakePending,
 		OnLeaseHolders: func(hosts []ident.Host) { n.quota.SetPeers(time.Now(), hosts) },
-		OnHeartbeat:    n.recordPeerUsage,
+		OnHeartbeat:    n.recordPeer,
 		OnLeave:        func(host ident.Host) { n.quota.RemovePeer(time.Now(), host) },
 		OnAlive:        func(host ident.Host) { n.quota.RecordPeerAlive(time.Now(), host) },
 		OnMessage:      n.handleMessage,
@@ -139,7 +142,10 @@
 	n.rates = rates.New(rates.Deps{
 		Self: self, Quota: n.quota, Counters: n.countingHosts, Call: n.mesh.Call, Cast: n.mesh.Send, Now: time.Now, Log: n.log,
 	})
+	n.limits = limit.New(self, time.Now(), rand.Float64)
+	n.limits.OnChange = n.logLimit
 	n.balancer = place.New(place.Settings{
+		Limits:   n.limits,
 		Location: place.Location{Zone: ident.AvailabilityZone(s.Zone), Region: ident.Region(s.Region)},
 		Weights:  place.DefaultWeights(), WarmsUp: newWarmer(self, n.regionPeers).warmsUp,
 	})
@@ -148,7 +154,7 @@
 
 func (n *Node) newEdge() *edge.Edge {
 	return edge.New(edge.Deps{
-		Protocol: n.platform.Protocol, Log: n.log, Table: n.watch.Table, Balancer: n.balancer, Pool: n.pool, Rates: n.rates,
+		Protocol: n.platform.Protocol, Log: n.log, Table: n.watch.Table, Balancer: n.balancer, Limits: n.limits, Pool: n.pool, Rates: n.rates,
 		Poison: n.poison, RetryRatio: n.platform.RetryRatio, RetrySlack: n.platform.RetrySlack, HostCount: n.hostCount,
 		Version: n.rolls.Version, RecordOutcome: n.recordOutcome, BroadcastStrike: n.broadcastStrike,
 		MarkEnded: n.watch.MarkEnded,
--- a/io/watch/query.go
+++ b/io/watch/query.go
@@ -17,6 +17,11 @@
 	return w.table
 }
 
+// HasServer reports whether the process of a backend server is registered, whether requests may be sent to it or not.
+func (w *Watch) HasServer(id ident.BackendServer, startMillis int64) bool {
+	return w.roster.Has(id, startMillis)
+}
+
 // Servers returns the backend servers that requests may be sent to. It excludes servers in evacuated zones and, for
 // reregisterTimeout after the end of an evacuation, servers that have not registered again.
 func (w *Watch) Servers() []roster.Entry {
