Hold what all entry hosts send to a backend server to the limit that it names

The same fault as on the edge path: a backend server could not say what it takes, and each host decided alone. core/limit is used as it is; hosts tell each other in the heartbeats of io/member, and the header of jayshift's own interface is Jayshift-Limit. If the limits of all servers of a service let nothing through in time, the request is refused at once with a time to come back (backend-limited), not queued.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -24,6 +24,8 @@
 	Exhausted func(ident.BackendServer) bool
 	// Skip reports whether the request must not go to the server, for instance because an earlier attempt used it.
 	Skip func(ident.BackendServer) bool
+	// Wait returns how long the server's limit lets no further request of this host through, zero if one may be sent now.
+	Wait func(*Server) time.Duration
 	// HasCapacity reports whether the region and the link to it can take another request.
 	HasCapacity func(ident.Region) bool
 	// IntN returns a random number in [0, n).
@@ -103,7 +105,7 @@
 	if q.Version != "" && s.Version != q.Version {
 		return false
 	}
-	if q.Skip(s.Name) || q.Snapshot.ServerDrained(s.Server) {
+	if q.Skip(s.Name) || q.Wait(s) > 0 || q.Snapshot.ServerDrained(s.Server) {
 		return false
 	}
 	s.mu.Lock()
--- a/core/route/pick_test.go
+++ b/core/route/pick_test.go
@@ -37,7 +37,7 @@
 	zone, region := location(0)
 	return route.Query{
 		Snapshot: s, Location: route.Location{Zone: zone, Region: region},
-		LocalSlots: func(ident.BackendServer) int { return 1 }, Skip: func(ident.BackendServer) bool { return false },
+		LocalSlots: func(ident.BackendServer) int { return 1 }, Skip: func(ident.BackendServer) bool { return false }, Wait: func(*route.Server) time.Duration { return 0 },
 		Exhausted: func(ident.BackendServer) bool { return false }, HasCapacity: func(ident.Region) bool { return true }, IntN: rand.IntN,
 	}
 }
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -263,6 +263,9 @@
 	// Number of requests in flight at the sender.
 	InFlight int `json:"in-flight" cbor:"in-flight"`
 
+	// Limits that backend servers have named in answers to the sender.
+	Limits []LimitReport `json:"limits,omitempty,omitzero" cbor:"limits,omitempty"`
+
 	// Configuration revision in force at the sender.
 	Revision int `json:"revision" cbor:"revision"`
 }
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -33,6 +33,7 @@
 	Truncate  bool          // abort responses after half of the body
 	NoLength  bool          // send responses without Content-Length
 	Crossed   bool          // send the Jayshift-Attempt header of another request
+	Limit     string        // requests per second to name in all responses, empty for none
 	AnswerLen int           // minimum length of the response body in bytes
 	OnStart   func()        `json:"-"` // called when a request starts
 }
@@ -104,6 +105,9 @@
 		return
 	}
 	behaviour, ok := b.startRequest(r)
+	if behaviour.Limit != "" {
+		w.Header().Set("Jayshift-Limit", behaviour.Limit)
+	}
 	if !ok {
 		w.Header().Set("Retry-After", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/io/entry/acquire.go
+++ b/io/entry/acquire.go
@@ -29,6 +29,9 @@
 		}
 	}
 	maxWait := min(maxQueueWait, time.Until(q.deadline))
+	if wait := e.limitWait(q); wait > maxWait {
+		return route.Choice{}, heldSlot{}, limitedProblem(wait)
+	}
 	waiter, ok := queue.Enqueue(time.Now(), q.team, maxWait)
 	if !ok {
 		return route.Choice{}, heldSlot{}, busyProblem()
@@ -118,6 +121,10 @@
 			}
 			continue
 		}
+		if !e.deps.Limits.Take(time.Now(), limitKey(choice.Server)) {
+			e.deps.Loans.ReleaseSlot(quantity, slot)
+			continue
+		}
 		if !e.takeRegionCapacity(q, choice.Server.Region) {
 			e.deps.Loans.ReleaseSlot(quantity, slot)
 			excludeRegion(excluded, e.deps.Pool.Servers(q.service.Name), choice.Server.Region)
@@ -145,6 +152,7 @@
 		Snapshot: q.snapshot, Location: e.deps.Location, Version: q.version,
 		LocalSlots:  func(b ident.BackendServer) int { return e.deps.Loans.Available(share.ServerQuantity(b)) },
 		Skip:        func(b ident.BackendServer) bool { return excluded[b] || q.tried[b] },
+		Wait:        func(s *route.Server) time.Duration { return e.deps.Limits.Wait(time.Now(), limitKey(s)) },
 		Exhausted:   func(b ident.BackendServer) bool { return e.deps.Loans.SlotsExhausted(share.ServerQuantity(b)) },
 		HasCapacity: func(r ident.Region) bool { return !e.linkExhausted(r) },
 		IntN:        rand.IntN,
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,6 +13,7 @@
 	"jayshift/core/canary"
 	"jayshift/core/config"
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/poison"
 	"jayshift/core/queue"
 	"jayshift/core/retry"
@@ -42,6 +43,7 @@
 	Table    func() wire.SeatTable
 	Peers    func() map[ident.Host]member.Peer
 	Loans    *loans.Limiter
+	Limits   *limit.Limiter
 	Pool     *target.Pool
 	Runs     *runs.Recorder
 	Poison   *poison.Detector
--- a/io/entry/problem.go
+++ b/io/entry/problem.go
@@ -42,6 +42,7 @@
 	kindInProgress     = "run-in-progress"
 	kindOutcomeUnknown = "outcome-unknown"
 	kindCannotRecord   = "cannot-record"
+	kindLimited        = "backend-limited"
 	kindUnavailable    = "backend-unavailable"
 	kindDeadline       = "deadline"
 	kindBadRequest     = "bad-request"
--- a/io/entry/response.go
+++ b/io/entry/response.go
@@ -35,6 +35,7 @@
 		q.mayHaveRun = true
 		return retry.MayHaveRun, &problem{status: http.StatusBadGateway, kind: kindUnavailable, title: "answer belongs to another request", retryAfter: unavailableRetryAfter}
 	}
+	e.recordLimit(s, response, started)
 	if isShed(response) {
 		s.End(now, route.Shed, 0)
 		return retry.NotRun, &problem{
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
@@ -14,6 +15,7 @@
 	"jayshift/core/config"
 	"jayshift/core/dedup"
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/poison"
 	"jayshift/core/route"
 	"jayshift/core/seat"
@@ -57,6 +59,7 @@
 	Pool     *target.Pool
 	Entry    *entry.Entry
 	Moves    *moves.Moves
+	limits   *limit.Limiter
 	runs     *runs.Recorder
 	poison   *poison.Detector
 	evidence *canary.Evidence
@@ -118,6 +121,8 @@
 		OnClose:    func(host ident.Host) { h.Member.RecordLinkClosed(host) },
 		HTTPClient: h.linkClient, Scheme: h.linkScheme(), Secret: s.LinkSecret, Log: h.log,
 	})
+	h.limits = limit.New(self, time.Now(), rand.Float64)
+	h.limits.OnChange = h.logLimit
 	h.Member = h.newMember()
 	h.Loans = loans.New(loans.Deps{
 		Self: self, Registry: h.Shares, Call: h.Mesh.Call, Now: time.Now, RegionHosts: h.Member.RegionHosts, OtherRegions: h.Member.OtherRegionHosts,
@@ -150,6 +155,8 @@
 		Store: h.Store, Mesh: h.Mesh, Registry: h.Shares, Log: h.log, ReloadConfig: h.Feed.RequestReload, PullConfig: h.pullConfig,
 		ConfigRevision: func() ident.Revision { return h.Feed.Snapshot().Revision },
 		Load:           func() (int, float64, bool) { return h.Entry.Load() },
+		LimitReports:   h.limitReports,
+		OnLimitReports: func(peer ident.Host, reports []limit.Report) { h.limits.RecordReports(time.Now(), peer, reports) },
 		RunController:  func(ctx context.Context, now time.Time) { h.Moves.UpdateVerdicts(ctx, now) },
 	})
 }
@@ -161,7 +168,7 @@
 		Host:     ident.Host(s.Name), Capacity: s.Capacity, MaxRequestTime: s.MaxRequestTime, Log: h.log,
 		Snapshot: h.Feed.Snapshot, Table: h.Member.Table, Peers: h.Member.Peers,
 		Serving: func(now time.Time) bool { return h.Feed.Loaded() && h.Member.Lease().Serving(now) },
-		Loans:   h.Loans, Pool: h.Pool, Runs: h.runs, Poison: h.poison, Gate: h.gate, Evidence: h.evidence,
+		Loans:   h.Loans, Limits: h.limits, Pool: h.Pool, Runs: h.runs, Poison: h.poison, Gate: h.gate, Evidence: h.evidence,
 		SendStrike: h.reportStrike, Observe: h.recordSample,
 	})
 }
--- a/io/member/heartbeat.go
+++ b/io/member/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/wire"
 	"jayshift/io/ticker"
 )
@@ -48,7 +49,7 @@
 	inFlight, headroom, draining := m.deps.Load()
 	return &wire.Heartbeat{
 		Revision: int(m.deps.ConfigRevision()), Generation: m.Table().Generation,
-		InFlight: inFlight, Headroom: headroom, Draining: draining,
+		InFlight: inFlight, Headroom: headroom, Draining: draining, Limits: limit.Encode(m.deps.LimitReports(time.Now())),
 	}
 }
 
@@ -63,6 +64,7 @@
 	}
 	incarnation := m.hello.Incarnation
 	m.mu.Unlock()
+	m.deps.OnLimitReports(host, limit.Decode(h.Limits))
 	if ident.Revision(h.Revision) > m.deps.ConfigRevision() {
 		go m.deps.PullConfig(host)
 	}
--- a/io/member/live.go
+++ b/io/member/live.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 )
 
 // maxHeartbeatAge is the age of a peer's last heartbeat from which the peer no longer counts as live.
@@ -62,6 +63,20 @@
 	return list
 }
 
+// ActiveHosts returns the live hosts with their regions, without this host while it is draining.
+func (m *Member) ActiveHosts() []limit.Host {
+	_, _, draining := m.deps.Load()
+	var list []limit.Host
+	for region, hosts := range m.liveHostsByRegion() {
+		for _, host := range hosts {
+			if host != m.self() || !draining {
+				list = append(list, limit.Host{Name: host, Region: ident.Region(region)})
+			}
+		}
+	}
+	return list
+}
+
 // RecordLinkClosed records that the link to a host closed. The host does not count as live until its next heartbeat.
 func (m *Member) RecordLinkClosed(host ident.Host) {
 	m.mu.Lock()
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/seat"
 	"jayshift/core/share"
 	"jayshift/core/wire"
@@ -36,6 +37,10 @@
 	// Load returns the number of requests in flight, the free share of capacity from 0 to 1, and whether the host is
 	// draining.
 	Load func() (inFlight int, headroom float64, draining bool)
+	// LimitReports returns the limits of backend servers that this host has seen in answers, and OnLimitReports is called
+	// with those of a peer.
+	LimitReports   func(now time.Time) []limit.Report
+	OnLimitReports func(peer ident.Host, reports []limit.Report)
 	// ReloadConfig requests a full read of the configuration. It is called when the watch lags behind the store.
 	ReloadConfig func()
 	// PullConfig fetches the configuration from a peer that has a newer one.
--- a/io/member/member_test.go
+++ b/io/member/member_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"jayshift/core/ident"
+	"jayshift/core/limit"
 	"jayshift/core/seat"
 	"jayshift/core/share"
 	"jayshift/core/wire"
@@ -102,6 +103,8 @@
 	hello := wire.Hello{Host: "a", AvailabilityZone: "z", Region: "r"}
 	timing := seat.Timing{IsolationLimit: isolationLimit, ClockDrift: clockDrift}
 	return member.New(hello, member.Timing{Lease: timing, RenewalInterval: renewalInterval, HeartbeatInterval: renewalInterval}, nil, member.Deps{
+		LimitReports: func(time.Time) []limit.Report { return nil }, OnLimitReports: func(ident.Host, []limit.Report) {},
+
 		Store: st, Mesh: mesh, Registry: share.NewRegistry("a", time.Second), Log: log,
 		ConfigRevision: func() ident.Revision { return 0 },
 		Load:           func() (int, float64, bool) { return 0, 1, false },
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -28,9 +28,5 @@
 
 // logLimit logs that a backend server names another limit than before, zero for none, and which host has seen it.
 func (n *Node) logLimit(server ident.BackendServer, rate limit.Rate, from ident.Host) {
-	if rate == 0 {
-		n.log.Info("backend server names no limit any more", "backend-server", string(server), "seen-by", string(from))
-		return
-	}
-	n.log.Info("backend server names a limit", "backend-server", string(server), "per-second", float64(rate), "seen-by", string(from))
+	limit.Log(n.log, server, rate, from)
 }
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -108,6 +108,9 @@
 // Servers returns the backend servers of a service.
 func (p *Pool) Servers(service ident.Service) []*route.Server { return (*p.byService.Load())[service] }
 
+// Has reports whether the configuration has the backend server.
+func (p *Pool) Has(name ident.BackendServer) bool { return p.target(name) != nil }
+
 func (p *Pool) target(name ident.BackendServer) *Target {
 	return (*p.targets.Load())[name]
 }
