--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -15,10 +15,11 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"jayshift/io/socket"
 )
 
 var (
@@ -132,12 +133,12 @@
 		Timeout: dialTimeout, Deadline: deadline,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2},
 	}
-	socket, err := dialer.DialContext(ctx, "tcp", address)
+	opened, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, merry.Prepend(ErrNotSent, err.Error())
 	}
 	p.opened.Add(1)
-	c := &conn{Conn: socket, address: address, maxIdle: maxIdleTime, limit: &io.LimitedReader{R: socket, N: math.MaxInt64}}
+	c := &conn{Conn: opened, address: address, maxIdle: maxIdleTime, limit: &io.LimitedReader{R: opened, N: math.MaxInt64}}
 	c.reader = bufio.NewReaderSize(c.limit, readBufferSize)
 	return c, nil
 }
@@ -151,7 +152,7 @@
 			return nil
 		}
 		idle := time.Since(c.lastUsed)
-		if idle < c.maxIdle && !(avoidStale && idle > maxFreshIdleTime) && c.isIdleOpen() {
+		if idle < c.maxIdle && !(avoidStale && idle > maxFreshIdleTime) && socket.IsQuiet(c.Conn) {
 			return c
 		}
 		_ = c.Close()
@@ -170,22 +171,6 @@
 	return c
 }
 
-// isIdleOpen reports whether the connection is open and has no unread data after the last response.
-func (c *conn) isIdleOpen() bool {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	var buf [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
-}
-
 func (p *Pool) putIdle(c *conn) {
 	c.lastUsed = time.Now()
 	p.mu.Lock()
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"strconv"
 	"time"
 
 	"jayshift/core/ident"
-	"jayshift/core/limit"
 	"jayshift/core/place"
-	"jayshift/core/roster"
 	"jayshift/io/conns"
 	"jayshift/io/panics"
 )
@@ -183,127 +179,3 @@
 	sent := !errors.Is(err, conns.ErrNotSent) && !errors.Is(err, conns.ErrCallerLeft)
 	return attemptResult{reply: reply, server: server.ID, sent: sent}, outcome
 }
-
-// recordLimit records the limit that a server's response names, empty for none. A text that names no rate is ignored.
-func (e *Edge) recordLimit(server *roster.Server, sentAt time.Time, text string) {
-	rate := limit.Rate(0)
-	if text != "" {
-		var err error
-		if rate, err = limit.ParseRate(text); err != nil {
-			return
-		}
-	}
-	key := limit.Server{ID: server.ID, Start: server.StartMillis, Region: server.Region}
-	e.deps.Limits.RecordAnswer(time.Now(), key, sentAt, rate)
-}
-
-// classifyResponse returns the reply for a server's response or error, and the outcome for the balancer.
-func (e *Edge) classifyResponse(ctx context.Context, q *request, res *place.Reservation, response *conns.Response, err error) (*reply, place.Outcome) {
-	if err != nil {
-		return e.classifyError(ctx, q, res, err)
-	}
-	load, hasLoad := q.protocol.ParseLoad(response.Header.Get(q.protocol.Load))
-	outcome := place.Outcome{Result: place.Succeeded}
-	if hasLoad {
-		outcome.Load = &load
-	}
-	signed := response.Header.Get(q.protocol.Signature) != ""
-	switch {
-	case response.Status == http.StatusMisdirectedRequest:
-		e.deps.MarkEnded(res.Server)
-		outcome.Result = place.Misdirected
-		return failedAttempt(outcomeMisdirected, notRun), outcome
-	case response.Header.Get(q.protocol.NotRun) != "":
-		outcome.Result = place.Shed
-		return failedAttempt(outcomeShed, notRun), outcome
-	case response.Header.Get("Content-Encoding") != "" || !signed && response.Status < http.StatusMultipleChoices:
-		outcome.Result = place.Broken
-		return failedAttempt(outcomeForeign, mayHaveRun), outcome
-	case response.Status >= http.StatusInternalServerError:
-		outcome.Result = place.Failed
-		r := forwarded(response, mayHaveRun)
-		r.outcome = outcomeServerFailed
-		return r, outcome
-	}
-	e.deps.Poison.RecordSuccess(time.Now(), q.fingerprint())
-	return forwarded(response, forwardable), outcome
-}
-
-// classifyError returns the reply and the outcome of an attempt without a response. A lost connection counts as a strike
-// against the request, which may have crashed the server.
-func (e *Edge) classifyError(ctx context.Context, q *request, res *place.Reservation, err error) (*reply, place.Outcome) {
-	switch {
-	case errors.Is(err, conns.ErrCallerLeft):
-		return failedAttempt(outcomeCallerLeft, notSent), place.Outcome{Result: place.Canceled}
-	case ctx.Err() != nil:
-		status := mayHaveRun
-		if errors.Is(err, conns.ErrNotSent) {
-			status = notSent
-		}
-		return failedAttempt(outcomeCallerLeft, status), place.Outcome{Result: place.Canceled}
-	case errors.Is(err, conns.ErrNotSent):
-		return failedAttempt(outcomeUnreachable, notSent), place.Outcome{Result: place.Unreachable}
-	case errors.Is(err, conns.ErrTimeout):
-		return failedAttempt(outcomeSilent, mayHaveRun), place.Outcome{Result: place.TimedOut}
-	}
-	if e.deps.Poison.Strike(time.Now(), q.fingerprint(), res.Server.ID) {
-		e.deps.BroadcastStrike(q.fingerprint(), res.Server.ID)
-	}
-	return failedAttempt(outcomeBroken, mayHaveRun), place.Outcome{Result: place.Broken}
-}
-
-// recordOutcome records the attempt for the canary analysis of the server's version. Results that do not show how the
-// server ran the request are ignored.
-func (e *Edge) recordOutcome(q *request, res *place.Reservation, r place.Result, now time.Time) {
-	switch r {
-	case place.Succeeded:
-		ratio, ok := res.RunTimeRatio(now)
-		if !ok {
-			ratio = 0
-		}
-		e.deps.RecordOutcome(res.Server, q.route.Name, false, ratio)
-	case place.Failed, place.Broken, place.TimedOut:
-		e.deps.RecordOutcome(res.Server, q.route.Name, true, 0)
-	default:
-	}
-}
-
-// hopByHopHeaders are the headers that apply to one connection and are not forwarded.
-var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Authorization", "Content-Length", "Expect"}
-
-// serverRequest returns the request to send to a backend server: without the caller's API key, and with the time left until
-// the deadline, the team and the expected server in its headers.
-func (q *request) serverRequest(server ident.BackendServer, deadline time.Time) conns.Request {
-	h := q.r.Header.Clone()
-	removeHopByHop(h)
-	p := q.protocol
-	for _, name := range p.StrippedHeaders {
-		h.Del(name)
-	}
-	h.Set(p.Deadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	h.Set(p.ExpectedServer, string(server))
-	h.Del(p.Team)
-	if q.team != "" {
-		h.Set(p.Team, string(q.team))
-	}
-	r := conns.Request{
-		Method: q.r.Method, Target: q.r.URL.RequestURI(), Host: q.r.Host, Header: h, Body: q.body, ID: q.id(),
-		ContentLength: int64(len(q.body)), CallerLeft: q.callerLeft, AvoidStale: !q.idempotent(),
-	}
-	if q.restOfBody != nil {
-		r.BodyStream, r.ContentLength = q.restOfBody, q.r.ContentLength
-	}
-	return r
-}
-
-// removeHopByHop removes hopByHopHeaders and the headers that are listed in the Connection header.
-func removeHopByHop(h http.Header) {
-	for _, fields := range h["Connection"] {
-		for _, field := range splitList(fields) {
-			h.Del(field)
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		h.Del(name)
-	}
-}
--- a/io/socket/socket.go
+++ b/io/socket/socket.go
@@ -14,6 +14,9 @@
 // HasInput reports whether bytes have arrived that were not read yet.
 func HasInput(c net.Conn) bool { return peek(c) == unreadInput }
 
+// IsQuiet reports whether the connection is open and has nothing to read.
+func IsQuiet(c net.Conn) bool { return peek(c) == noInput }
+
 // PeerClosed reports whether the other side has closed its side of the connection or has reset it, also if bytes that it
 // sent before are not read yet. It returns false for a connection that is not over TCP.
 func PeerClosed(c net.Conn) bool {
