--- a/core/limit/fleet_test.go
+++ b/core/limit/fleet_test.go
@@ -28,11 +28,12 @@
 
 // Terms of the promise about limits.
 const (
-	stability = 4 * time.Second // from the first named limit on, and after a disturbance of a host
-	window    = 4 * time.Second
-	toldFor   = 500 * time.Millisecond
-	allowance = 5 // requests
-	overshoot = 1.5
+	stability   = 4 * time.Second // from the first named limit on, and after a disturbance of a host
+	window      = 4 * time.Second
+	justStarted = 2 * time.Second
+	toldFor     = 500 * time.Millisecond
+	allowance   = 5 // requests
+	overshoot   = 1.5
 )
 
 // simHost is one host in virtual time.
@@ -44,6 +45,7 @@
 	phase       time.Duration
 	heard       []time.Time // last heartbeat of each host
 	up          bool
+	booted      time.Time
 	leaving     bool
 	frozenUntil time.Time
 	side        int // hosts on different sides of a cut do not hear each other
@@ -80,6 +82,8 @@
 	rate     limit.Rate
 	arrivals []arrival
 	counted  []time.Time // arrivals that the promise counts
+	hasty    int         // requests of hosts that know the limit, but have just started
+	loss     float64     // part of the heartbeats that do not arrive
 }
 
 func newSimulation(seed uint64, hosts int, demand float64) *simulation {
@@ -103,7 +107,7 @@
 func (s *simulation) boot(h *simHost) {
 	h.limiter = limit.New(h.name, s.now, s.random.Float64)
 	h.heard = make([]time.Time, maxHosts)
-	h.up, h.leaving, h.told = true, false, time.Time{}
+	h.up, h.leaving, h.told, h.booted = true, false, time.Time{}, s.now
 	s.excuse(h, s.now)
 }
 
@@ -187,7 +191,7 @@
 
 // receiveHeartbeat drops what reaches a host while it is frozen, as hosts do with heartbeats that have queued up.
 func (s *simulation) receiveHeartbeat(h *simHost, m message) {
-	if h.index == m.from || !h.up || s.now.Before(h.frozenUntil) || m.side != h.side {
+	if h.index == m.from || !h.up || s.now.Before(h.frozenUntil) || m.side != h.side || s.loss > 0 && s.random.Float64() < s.loss {
 		return
 	}
 	h.heard[m.from] = s.now
@@ -230,6 +234,9 @@
 
 func (s *simulation) request(h *simHost) {
 	s.arrivals = append(s.arrivals, arrival{s.now, h.index})
+	if _, limited := h.limiter.Named(s.server); limited && s.now.Sub(h.booted) < justStarted {
+		s.hasty++
+	}
 	if told := !h.told.IsZero() && s.now.Sub(h.told) >= toldFor; told && s.now.After(h.excused) {
 		s.counted = append(s.counted, s.now)
 	}
@@ -294,6 +301,10 @@
 		s.heal()
 		s.run(15*time.Second, nil)
 	},
+	"half of the heartbeats lost": func(s *simulation) {
+		s.loss = 0.5
+		s.run(30*time.Second, nil)
+	},
 	"hosts freeze": func(s *simulation) {
 		s.run(30*time.Second, func() {
 			if s.random.IntN(300) == 0 {
@@ -379,6 +390,28 @@
 	}
 }
 
+// TestReturningHostsWait checks that many hosts that start at once do not send to a server in need before they know each
+// other.
+func TestReturningHostsWait(t *testing.T) {
+	t.Parallel()
+	for _, hosts := range []int{3, 10, 60} {
+		is := is.New(t)
+		s := newSimulation(4, hosts, 20)
+		s.run(5*time.Second, nil)
+		s.rate = 3.1
+		s.run(5*time.Second, nil)
+		for _, h := range s.hosts[1:] {
+			s.kill(h)
+		}
+		s.run(3*time.Second, nil)
+		for _, h := range s.hosts[1:] {
+			s.boot(h)
+		}
+		s.run(6*time.Second, nil)
+		is.Equal(s.hasty, 0)
+	}
+}
+
 // TestLimitNamedAtTheStart checks that hosts that have all just started, and know of no other, keep to a limit.
 func TestLimitNamedAtTheStart(t *testing.T) {
 	t.Parallel()
