--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -43,8 +43,8 @@
 	return h
 }
 
-// recordPeer records the limits of backend servers and the team usage in a peer's heartbeat. While the two hosts know different teams, the usage cannot
-// be decoded, and the heartbeat only shows that the peer is alive.
+// recordPeer records the limits of backend servers and the team usage in a peer's heartbeat. While the two hosts know
+// different teams, the usage cannot be decoded, and shows only that the peer is alive.
 func (n *Node) recordPeer(host ident.Host, h wire.EdgeHeartbeat) {
 	names, sum := n.quota.TeamNames()
 	if h.Teams != sum {
