Follow a store that was restored from a copy, on the edge path

Cause: revisions of before and after the restore were compared. The watch went on from the higher of the old and the new one, and a key whose new revision was not above the known one was left out. Class: an order that holds within one history used across two. Ruled out: the store's being away (the readings succeed), versions going back (18 is above 15).

Change: the era is part of each revision (ident.Revision); asking for the order of two writes of different eras is an error. The client reads Store-Era from all answers; a watch, a comparison or a lease of an earlier era ends. A new era makes the reader list anew and replace its copy. Peers pass the era on, and a copy of an older era is not taken. Moves go on under a rewritten order, and their stages and ends are stated again by the leader. The roster ignores old registrations of removed servers that come back. A list that is read again no longer makes a host unready.

--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -38,9 +38,6 @@
 // Site is the name of a location, in an availability zone, that client address blocks map to.
 type Site string
 
-// Revision is the store revision of a configuration.
-type Revision int64
-
 // Generation is the version number of the seat table, which records the fleet's members. It increases with each change.
 type Generation int64
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -29,14 +29,25 @@
 	byAddress       map[string]map[ident.BackendServer]bool // the ids in entries by their addresses
 	pendingRemovals map[ident.BackendServer]time.Time       // when a delayed removal takes effect
 	endedStart      map[ident.BackendServer]int64           // StartMillis of the latest process that is known to have ended
+	removed         map[ident.BackendServer]removal         // the last registrations of removed servers
 	delayUntil      time.Time                               // removals that arrive before this time are delayed until then
 }
 
+// removalRetention is how long the last registration of a removed server is kept, to tell older ones from new ones.
+const removalRetention = time.Minute
+
+// removal is the last registration of a removed server, and the time of its removal.
+type removal struct {
+	last Server
+	at   time.Time
+}
+
 // New returns an empty roster with the given RemovalDelay.
 func New(removalDelay time.Duration) *Roster {
 	return &Roster{
 		RemovalDelay: removalDelay, entries: map[ident.BackendServer]Entry{}, byAddress: map[string]map[ident.BackendServer]bool{},
 		pendingRemovals: map[ident.BackendServer]time.Time{}, endedStart: map[ident.BackendServer]int64{},
+		removed: map[ident.BackendServer]removal{},
 	}
 }
 
@@ -48,7 +59,9 @@
 }
 
 // Register applies a registration and reports whether it added the server or changed anything other than Seq.
-// It ignores a registration that is older than the present one or comes from a process that is known to have ended.
+// It ignores a registration that is older than the present one or comes from a process that is known to have ended. After a
+// removal it ignores the registrations up to the last one of that process, which a store may hold again that was restored
+// from a copy.
 func (r *Roster) Register(now time.Time, s Server) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -56,6 +69,10 @@
 	if known && isOlder(s, old.Server) || s.StartMillis != 0 && s.StartMillis <= r.endedStart[s.ID] {
 		return false
 	}
+	if gone, ok := r.removed[s.ID]; ok && !known && s.StartMillis != 0 && !isOlder(gone.last, s) {
+		return false
+	}
+	delete(r.removed, s.ID)
 	delete(r.pendingRemovals, s.ID)
 	entry := Entry{Server: s, ColdUntil: now.Add(s.Cold), UpdatedAt: now}
 	if known && old.StartMillis == s.StartMillis && old.Draining {
@@ -115,16 +132,22 @@
 		r.pendingRemovals[id] = r.delayUntil
 		return
 	}
-	r.removeEntry(id)
+	r.removeEntry(now, id)
 }
 
 // removeEntry removes a server. A draining one is recorded as ended; any other may merely have lost contact with the
 // store and can register again.
-func (r *Roster) removeEntry(id ident.BackendServer) {
+func (r *Roster) removeEntry(now time.Time, id ident.BackendServer) {
 	if r.entries[id].Draining {
 		r.recordEnded(id)
 		return
 	}
+	for old, gone := range r.removed {
+		if now.Sub(gone.at) > removalRetention {
+			delete(r.removed, old)
+		}
+	}
+	r.removed[id] = removal{last: r.entries[id].Server, at: now}
 	r.deleteEntry(id)
 	delete(r.pendingRemovals, id)
 }
@@ -155,7 +178,7 @@
 		if now.Before(at) {
 			continue
 		}
-		r.removeEntry(id)
+		r.removeEntry(now, id)
 		changed = true
 	}
 	return changed
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -51,6 +51,11 @@
 			r.Register(start.Add(time.Second), server("a", 1, 2))
 			r.ApplyRemovals(start.Add(removalDelay))
 		}, []string{"a"}},
+		"registration from a restored copy, older than the removal": {func(r *roster.Roster) {
+			r.Register(start, server("a", 1, 5))
+			r.Remove(start, "a")
+			r.Register(start, server("a", 1, 5))
+		}, nil},
 		"expired without a store outage and registered again": {func(r *roster.Roster) {
 			r.Register(start, server("a", 1, 1))
 			r.Remove(start, "a")
--- a/io/roll/advance.go
+++ b/io/roll/advance.go
@@ -14,10 +14,15 @@
 	"jayshift/io/watch"
 )
 
-// stage returns the stored stage of the move, or false if there is none for its order.
+// stage returns the stored stage of the move, or false if there is none for its order. An order that was written again after
+// a restore of the store continues the move to its version that was ordered in an earlier era.
 func (r *Rollouts) stage(m *move) (watch.Stage, bool) {
 	s, ok := r.deps.Watch.Stage(m.order.Service)
-	return s, ok && ident.Revision(s.Order) == m.order.Revision
+	if !ok || s.To != string(m.order.To) {
+		return s, false
+	}
+	ordered := ident.Revision(s.Order)
+	return s, ordered == m.order.Revision || ordered == m.firstRevision || ordered.Era() < m.order.Revision.Era()
 }
 
 // advance writes the next stage of a move: the first share, a larger share, or the end of the move as reverted or done.
@@ -39,6 +44,8 @@
 	mayAdvance := canary.MayAdvance(r.evidence(now, m))
 	share, done := canary.Next(now, step, deadline, mayAdvance)
 	switch {
+	case s.Revision.Era() < m.order.Revision.Era():
+		return r.writeStage(ctx, m, s, s.Share, watch.MoveState(s.State), s.Reason, now)
 	case done && r.deps.Converged(m.order.Service, m.order.To, s.Revision):
 		return r.writeStage(ctx, m, s, 1, watch.MoveDone, "all requests are on the version", now)
 	case share != s.Share:
@@ -55,7 +62,7 @@
 		To: string(m.order.To), Order: int(m.order.Revision), Share: share, State: string(state), Reason: reason,
 		StartedMs: int(now.UnixMilli()),
 	}
-	if ident.Revision(old.Order) == m.order.Revision {
+	if _, ok := r.stage(m); ok {
 		next.StartedMs = old.StartedMs
 	}
 	stageValue, err := json.Marshal(next)
@@ -68,9 +75,12 @@
 		return err
 	}
 	stageKey := watch.StageKey(service)
-	compares := []store.Compare{{Key: stageKey, Revision: int64(old.Revision)}, {Key: statusKey, Revision: int64(status.Revision)}}
+	compares := []store.Compare{
+		{Key: stageKey, Revision: int64(r.deps.Watch.StoredRevision(stageKey))},
+		{Key: statusKey, Revision: int64(r.deps.Watch.StoredRevision(statusKey))},
+	}
 	writes := []store.Write{{Key: stageKey, Value: stageValue}}
-	if status.To != m.order.To || status.State != state || status.Revision < m.order.Revision {
+	if status.To != m.order.To || status.State != state || !status.Revision.FollowsInEra(m.order.Revision) {
 		writes = append(writes, store.Write{Key: statusKey, Value: statusValue})
 	}
 	_, _, err = r.deps.Store.Txn(ctx, compares, writes, nil)
@@ -79,3 +89,17 @@
 	}
 	return err
 }
+
+// restate writes the end of a move again if the store has lost it in a restore, so that operators read it.
+func (r *Rollouts) restate(ctx context.Context, now time.Time, m *move) error {
+	status, ok := r.deps.Watch.MoveStatus(m.order.Service)
+	if ok && status.To == m.order.To && status.State == m.endState && status.Revision.FollowsInEra(m.order.Revision) {
+		return nil
+	}
+	s, _ := r.stage(m)
+	share := 0.0
+	if m.endState == watch.MoveDone {
+		share = 1
+	}
+	return r.writeStage(ctx, m, s, share, m.endState, s.Reason, now)
+}
--- a/io/roll/roll.go
+++ b/io/roll/roll.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
@@ -54,12 +55,16 @@
 
 // move is the state of one service's move at this host.
 type move struct {
-	order watch.MoveOrder
-	step  canary.Step // share that this host applies, and since when
-	fault string      // reason why the version is bad, or empty
-	ended bool        // the stored status says that the move is done or reverted
+	order         watch.MoveOrder
+	firstRevision ident.Revision  // of the order when the move began; the order may have been written again since
+	step          canary.Step     // share that this host applies, and since when
+	fault         string          // reason why the version is bad, or empty
+	endState      watch.MoveState // done or reverted once the stored status says so, or empty
 }
 
+// ended reports whether the stored status says that the move is done or reverted.
+func (m *move) ended() bool { return m.endState != "" }
+
 // New returns a Rollouts without moves.
 func New(deps Deps) *Rollouts {
 	return &Rollouts{deps: deps, currentVersions: map[ident.Service]ident.Version{}, moves: map[ident.Service]*move{}}
@@ -86,7 +91,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.moves[service]
-	if m == nil || m.ended {
+	if m == nil || m.ended() {
 		return "", false
 	}
 	return m.order.To, true
@@ -136,7 +141,7 @@
 	if !ok || status.State != watch.MoveDone {
 		return false
 	}
-	if order, ok := r.orderFor(service); ok && order.Revision > status.Revision {
+	if order, ok := r.orderFor(service); ok && !status.Revision.FollowsInEra(order.Revision) {
 		return false
 	}
 	r.currentVersions[service] = status.To
@@ -176,15 +181,17 @@
 func (r *Rollouts) Tick(ctx context.Context, now time.Time) {
 	for _, order := range r.deps.Watch.Orders() {
 		m := r.updateMove(order)
-		if m.ended {
+		write := r.restate
+		if !m.ended() {
+			r.checkEvidence(now, m)
+			r.setGate(now, m)
+			write = r.advance
+		}
+		if !r.deps.IsLeader(order.Service) {
 			continue
 		}
-		r.checkEvidence(now, m)
-		r.setGate(now, m)
-		if r.deps.IsLeader(order.Service) {
-			if err := r.advance(ctx, now, m); err != nil && !errors.Is(err, store.ErrConflict) {
-				r.deps.Log.Warn("move not advanced", "service", string(order.Service), "error", err.Error())
-			}
+		if err := write(ctx, now, m); err != nil && !errors.Is(err, store.ErrConflict) {
+			r.deps.Log.Warn("move not advanced", "service", string(order.Service), "error", err.Error())
 		}
 	}
 }
@@ -195,14 +202,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.moves[order.Service]
-	if m == nil || m.order.Revision != order.Revision {
-		m = &move{order: order}
+	switch {
+	case m != nil && m.order.Revision == order.Revision:
+	case m != nil && r.isRewritten(m.order, order):
+		r.deps.Log.Info("order written again after a restore of the store", "service", string(order.Service), "to", string(order.To),
+			"revision", int64(order.Revision), "revision-before", int64(m.order.Revision))
+		m.order = order
+	default:
+		m = &move{order: order, firstRevision: order.Revision}
 		r.moves[order.Service] = m
 		r.deps.Evidence.Reset(order.Service, order.To)
 	}
 	status, ok := r.deps.Watch.MoveStatus(order.Service)
-	if ok && status.Revision > order.Revision && status.To == order.To && status.State != watch.MoveRunning && !m.ended {
-		m.ended = true
+	if ok && status.Revision.FollowsInEra(order.Revision) && status.To == order.To && status.State != watch.MoveRunning && !m.ended() {
+		m.endState = status.State
 		r.deps.Gate.Close(order.Service)
 		if status.State == watch.MoveDone {
 			r.currentVersions[order.Service] = order.To
@@ -212,6 +225,16 @@
 	return m
 }
 
+// isRewritten reports whether an order is one that is known already and was written again after a restore of the store. A
+// second order for the same version that was given in that time looks the same: it is taken as the first one, so that a
+// version that was found bad gets no requests.
+func (r *Rollouts) isRewritten(known, order watch.MoveOrder) bool {
+	if known.To != order.To || known.Within != order.Within {
+		return false
+	}
+	return known.Revision.Era() < order.Revision.Era() || r.deps.Watch.Rewriting()
+}
+
 // setGate sets the gate to the stored share, or closes it if there is no stage, the version is bad or the move was
 // reverted.
 func (r *Rollouts) setGate(now time.Time, m *move) {
@@ -257,7 +280,7 @@
 // attemptID identifies the move that an order starts, by the order's version and store revision. Another order for the
 // same version has another id.
 func attemptID(o watch.MoveOrder) string {
-	return string(o.To) + " " + time.Duration(o.Revision).String()
+	return string(o.To) + " " + strconv.FormatInt(int64(o.Revision), 10)
 }
 
 // AddFault records that the version of a running move is bad, as found by this host or a peer, and closes the gate. No
--- a/io/roll/roll_test.go
+++ b/io/roll/roll_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -206,3 +207,51 @@
 	f.run(within, 40, healthy)
 	is.Equal(f.status(), "v2 done")
 }
+
+// restore makes all hosts read a store that was restored from a copy with the given keys, in a new era.
+func (f *fleet) restore(keys map[string]store.KV) {
+	era := ident.Revision(f.revision).Era() + 1
+	f.keys = map[string]store.KV{}
+	c := wire.Copy{Full: true, Revision: int(ident.NewRevision(era, 1))}
+	for key, kv := range keys {
+		kv.ModRevision = int64(ident.NewRevision(era, ident.Revision(kv.ModRevision).Number()))
+		f.keys[key] = kv
+		c.Items = append(c.Items, wire.Item{Key: key, Value: string(kv.Value), Revision: int(kv.ModRevision)})
+		c.Revision = max(c.Revision, int(kv.ModRevision))
+	}
+	f.revision = int64(c.Revision)
+	for _, w := range f.watches {
+		w.ApplyCopy(c)
+	}
+}
+
+// TestMoveGoesOnAfterARestore checks that a move goes on where it was, and that its end is stated again, after the store has
+// lost the order, the stage and the status and the operator has written the order again.
+func TestMoveGoesOnAfterARestore(t *testing.T) {
+	for name, c := range map[string]struct {
+		respond func(time.Duration) (bool, float64)
+		after   time.Duration // of the order, at which the store is restored
+		end     string
+	}{
+		"good, halfway": {healthy, within / 2, "v2 done"},
+		"good, done":    {healthy, within, "v2 done"},
+		"bad, reverted": {func(time.Duration) (bool, float64) { return true, 0 }, within, "v2 reverted"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(3)
+			stored := maps.Clone(f.keys)
+			f.put("order", "v2")
+			f.run(c.after, 40, c.respond)
+			before := f.newRequests
+			f.restore(stored)
+			f.run(time.Second, 40, c.respond)
+			f.put("order", "v2")
+			f.run(within/2+time.Second, 40, c.respond)
+			is.Equal(f.status(), c.end)
+			if c.end == "v2 reverted" {
+				is.Equal(f.newRequests, before) // a bad version gets no requests anew
+			}
+		})
+	}
+}
--- a/io/store/counter.go
+++ b/io/store/counter.go
@@ -14,6 +14,7 @@
 	Conflict    Result = "conflict"
 	Compacted   Result = "compacted"
 	NoLease     Result = "no-lease"
+	NewEra      Result = "new-era"
 	Unavailable Result = "unavailable"
 	Canceled    Result = "ended" // the context was canceled
 )
@@ -68,6 +69,8 @@
 		return Compacted
 	case errors.Is(err, ErrNoLease):
 		return NoLease
+	case errors.Is(err, ErrNewEra):
+		return NewEra
 	case errors.Is(err, context.Canceled):
 		return Canceled
 	}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -13,6 +13,8 @@
 	"github.com/ansel1/merry/v2"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/google/uuid"
+
+	"jayshift/core/ident"
 )
 
 const (
@@ -58,7 +60,8 @@
 	Deleted        bool
 }
 
-// Store calls the platform's store. Tests and other store implementations replace the function fields.
+// Store calls the platform's store. Tests and other store implementations replace the function fields. All revisions that
+// it takes and returns hold the era of the store, see ident.Revision.
 type Store struct {
 	// Range returns all keys with the prefix and the store's revision at the read.
 	Range func(ctx context.Context, prefix string) ([]KV, int64, error)
@@ -87,7 +90,7 @@
 		return nil, merry.Prepend(err, "create store client")
 	}
 	s := &Store{}
-	g := &gateway{client: client, watchClient: &http.Client{}, baseURL: "http://" + address, calls: &s.calls}
+	g := &gateway{client: client, watchClient: &http.Client{}, baseURL: "http://" + address, calls: &s.calls, eras: NewEras()}
 	s.Range = g.readRange
 	s.Txn = g.txn
 	s.Watch = g.watch
@@ -109,51 +112,78 @@
 	watchClient *http.Client
 	baseURL     string
 	calls       *atomic.Int64
+	eras        *Eras
 }
 
-func (g *gateway) invoke(ctx context.Context, path string, request, reply any) error {
+// invoke calls the gateway and returns the era of its response.
+func (g *gateway) invoke(ctx context.Context, path string, request, reply any) (ident.Era, error) {
 	g.calls.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := g.client.Invoke(ctx, http.MethodPost, path, request, reply); err != nil {
-		return merry.Prepend(ErrUnavailable, err.Error())
+	responseHeader := http.Header{}
+	if err := g.client.Invoke(ctx, http.MethodPost, path, request, reply, khttp.Header(&responseHeader)); err != nil {
+		return 0, merry.Prepend(ErrUnavailable, err.Error())
 	}
-	return nil
+	return g.eras.Observe(responseHeader)
+}
+
+// revision adds the era of a response to a revision in it.
+func revision(era ident.Era, number int64) int64 { return int64(ident.NewRevision(era, number)) }
+
+// withEra returns a key of a response of the given era.
+func (kv KV) withEra(era ident.Era) KV {
+	kv.CreateRevision = revision(era, kv.CreateRevision)
+	kv.ModRevision = revision(era, kv.ModRevision)
+	return kv
 }
 
 func (g *gateway) readRange(ctx context.Context, prefix string) ([]KV, int64, error) {
 	var reply rangeResponse
 	request := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
-	if err := g.invoke(ctx, "/v3/kv/range", &request, &reply); err != nil {
+	era, err := g.invoke(ctx, "/v3/kv/range", &request, &reply)
+	if err != nil {
 		return nil, 0, err
 	}
-	return reply.KVs, reply.Header.Revision, nil
+	for i, kv := range reply.KVs {
+		reply.KVs[i] = kv.withEra(era)
+	}
+	return reply.KVs, revision(era, reply.Header.Revision), nil
 }
 
 func (g *gateway) txn(ctx context.Context, compares []Compare, writes []Write, reads []string) (int64, []KV, error) {
 	if len(writes)+len(reads) > maxTxnOps {
 		return 0, nil, ErrTooLarge
 	}
+	if err := g.eras.CheckWrites(compares, writes); err != nil {
+		return 0, nil, err
+	}
 	var reply txnResponse
-	if err := g.invoke(ctx, "/v3/kv/txn", newTxnRequest(compares, writes, reads), &reply); err != nil {
+	era, err := g.invoke(ctx, "/v3/kv/txn", newTxnRequest(compares, writes, reads), &reply)
+	if err != nil {
 		return 0, nil, err
 	}
 	var kvs []KV
 	for _, r := range reply.Responses {
-		if r.Range != nil {
-			kvs = append(kvs, r.Range.KVs...)
+		if r.Range == nil {
+			continue
+		}
+		for _, kv := range r.Range.KVs {
+			kvs = append(kvs, kv.withEra(era))
 		}
 	}
+	if g.eras.CheckWrites(compares, writes) != nil {
+		return 0, kvs, ErrNewEra
+	}
 	if !reply.Succeeded {
-		return reply.Header.Revision, kvs, ErrConflict
+		return revision(era, reply.Header.Revision), kvs, ErrConflict
 	}
-	return reply.Header.Revision, kvs, nil
+	return revision(era, reply.Header.Revision), kvs, nil
 }
 
 func newTxnRequest(compares []Compare, writes []Write, reads []string) *txnRequest {
 	t := &txnRequest{}
 	for _, c := range compares {
-		t.Compare = append(t.Compare, compare{Key: []byte(c.Key), Target: "MOD", Result: "EQUAL", ModRevision: c.Revision})
+		t.Compare = append(t.Compare, compare{Key: []byte(c.Key), Target: "MOD", Result: "EQUAL", ModRevision: ident.Revision(c.Revision).Number()})
 	}
 	for _, w := range writes {
 		if w.Delete {
@@ -172,30 +202,43 @@
 
 func (g *gateway) grant(ctx context.Context, seconds int64) (int64, error) {
 	var reply leaseResponse
-	err := g.invoke(ctx, "/v3/lease/grant", &leaseGrantRequest{TTL: seconds}, &reply)
+	era, err := g.invoke(ctx, "/v3/lease/grant", &leaseGrantRequest{TTL: seconds}, &reply)
+	if err == nil {
+		g.eras.RecordLease(reply.ID, era)
+	}
 	return reply.ID, err
 }
 
 func (g *gateway) keepAlive(ctx context.Context, lease int64) error {
-	var reply keepAliveResponse
-	if err := g.invoke(ctx, "/v3/lease/keepalive", &leaseRequest{ID: lease}, &reply); err != nil {
-		return err
+	if g.eras.LeaseEnded(lease) {
+		return ErrConflict
 	}
-	if reply.Result.TTL <= 0 {
+	var reply keepAliveResponse
+	_, err := g.invoke(ctx, "/v3/lease/keepalive", &leaseRequest{ID: lease}, &reply)
+	if g.eras.LeaseEnded(lease) || err == nil && reply.Result.TTL <= 0 {
 		return ErrConflict
 	}
-	return nil
+	return err
 }
 
 func (g *gateway) revoke(ctx context.Context, lease int64) error {
-	return g.invoke(ctx, "/v3/lease/revoke", &leaseRequest{ID: lease}, &struct{}{})
+	ended := g.eras.LeaseEnded(lease)
+	g.eras.ForgetLease(lease)
+	if ended {
+		return nil
+	}
+	_, err := g.invoke(ctx, "/v3/lease/revoke", &leaseRequest{ID: lease}, &struct{}{})
+	return err
 }
 
 func (g *gateway) watch(ctx context.Context, prefix string, startRevision int64, handle func([]Event, int64)) error {
+	if err := g.eras.Follows(ident.Revision(startRevision)); err != nil {
+		return err
+	}
 	g.calls.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	body, err := json.Marshal(watchRequest{Create: watchCreateRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: startRevision}})
+	body, err := json.Marshal(watchRequest{Create: watchCreateRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: ident.Revision(startRevision).Number()}})
 	if err != nil {
 		return merry.Wrap(err)
 	}
@@ -210,10 +253,18 @@
 		return merry.Prepend(ErrUnavailable, err.Error())
 	}
 	defer response.Body.Close()
-	return readWatch(response.Body, handle, func() { idleTimer.Reset(watchIdleTimeout) })
+	era, err := g.eras.Observe(response.Header)
+	if err != nil {
+		return err
+	}
+	if era != ident.Revision(startRevision).Era() {
+		return ErrNewEra
+	}
+	return readWatch(response.Body, era, handle, func() { idleTimer.Reset(watchIdleTimeout) })
 }
 
-func readWatch(stream io.Reader, handle func([]Event, int64), onMessage func()) error {
+// readWatch reads the messages of a watch that was opened in the given era.
+func readWatch(stream io.Reader, era ident.Era, handle func([]Event, int64), onMessage func()) error {
 	decoder := json.NewDecoder(stream)
 	for {
 		var message watchResponse
@@ -228,15 +279,16 @@
 			return ErrUnavailable
 		}
 		if len(message.Result.Events) > 0 {
-			handle(toEvents(message.Result.Events), message.Result.Header.Revision)
+			handle(toEvents(era, message.Result.Events), revision(era, message.Result.Header.Revision))
 		}
 	}
 }
 
-func toEvents(list []watchEvent) []Event {
+func toEvents(era ident.Era, list []watchEvent) []Event {
 	events := make([]Event, len(list))
 	for i, e := range list {
-		events[i] = Event{Key: string(e.KV.Key), Value: e.KV.Value, Revision: e.KV.ModRevision, CreateRevision: e.KV.CreateRevision, Deleted: e.Type == "DELETE"}
+		kv := e.KV.withEra(era)
+		events[i] = Event{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision, CreateRevision: kv.CreateRevision, Deleted: e.Type == "DELETE"}
 	}
 	return events
 }
--- a/io/watch/apply.go
+++ b/io/watch/apply.go
@@ -6,22 +6,33 @@
 	"jayshift/io/panics"
 )
 
-// replaceAll applies a full list of the store's keys at the given revision. Known keys that are missing from the list are
-// treated as deleted, unless they were written after that revision.
+// replaceAll applies a full list of the store's keys at the given revision. If that is in a later era than the copy, the copy
+// continues in that era.
 func (w *Watch) replaceAll(items []Item, revision ident.Revision) {
+	w.mu.Lock()
+	if w.revision != 0 && revision.Era() > w.revision.Era() {
+		items = w.beginEra(items, revision)
+	} else {
+		items = w.addDeletions(items, revision)
+	}
+	w.loaded, w.incomplete = true, false
+	w.mu.Unlock()
+	w.applyItems(items, revision)
+}
+
+// addDeletions adds deletions of the known keys that are missing from a full list at the given revision, unless they were
+// written after it. The caller holds mu.
+func (w *Watch) addDeletions(items []Item, revision ident.Revision) []Item {
 	present := make(map[string]bool, len(items))
 	for _, i := range items {
 		present[i.Key] = true
 	}
-	w.mu.Lock()
 	for key, known := range w.items {
 		if !present[key] && known.Revision <= revision {
 			items = append(items, Item{Key: key, Revision: revision, Deleted: true})
 		}
 	}
-	w.loaded = true
-	w.mu.Unlock()
-	w.applyItems(items, revision)
+	return items
 }
 
 // applyItems applies changes in the given order and calls OnChange if any of them is relevant. The copy is complete up to
@@ -47,6 +58,7 @@
 	if ok && i.Revision <= known.Revision || !ok && i.Deleted {
 		return false
 	}
+	delete(w.lost, i.Key)
 	changed := w.decodeItem(i)
 	w.storeItem(i, known, changed)
 	return changed
--- a/io/watch/copy.go
+++ b/io/watch/copy.go
@@ -47,7 +47,7 @@
 
 // Copy returns the relevant changes of the store after the given revision, or all keys if after is 0 or the deletions
 // since then are no longer recorded. Unless after is 0, it waits up to maxCopyWait for a change. ok is false while this
-// host has no complete copy.
+// host has no complete copy, or one of an earlier era of the store than after.
 func (w *Watch) Copy(ctx context.Context, after ident.Revision) (c wire.Copy, ok bool) {
 	w.mu.Lock()
 	changeCh, wait := w.changeCh, after > 0 && !w.hasChangesAfter(after)
@@ -63,7 +63,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.changesAfter(after), w.loaded
+	return w.changesAfter(after), w.loaded && w.revision.Era() >= after.Era()
 }
 
 // StoreFresh reports whether the last call to the store succeeded and this host's copy was confirmed as current within
@@ -86,8 +86,13 @@
 
 // changesAfter returns the relevant changes after the revision, or all keys. The caller holds mu.
 func (w *Watch) changesAfter(after ident.Revision) wire.Copy {
-	c := wire.Copy{Full: after < w.droppedDeletions || after == 0, Revision: int(w.revision), Regained: w.deps.Now().Before(w.regainedUntil)}
+	full := after == 0 || after < w.droppedDeletions || after.Era() != w.revision.Era()
+	c := wire.Copy{Full: full, Revision: int(w.revision), Regained: w.deps.Now().Before(w.regainedUntil)}
 	for _, i := range w.items {
+		i, ok := w.storedValue(i)
+		if !ok {
+			continue
+		}
 		// Values that are not valid UTF-8 cannot be sent as text. They are left out, since they cannot be decoded either.
 		if (c.Full || i.contentRevision > after) && utf8.Valid(i.Value) {
 			c.Items = append(c.Items, wire.Item{Key: i.Key, Value: string(i.Value), Revision: int(i.Revision)})
@@ -104,14 +109,29 @@
 	return c
 }
 
-// ApplyCopy applies a peer's copy of the store or its changes, unless this host's copy is at a later revision. If the peer
-// has recently regained the store, removals of servers are delayed here too.
+// storedValue returns an item as the store holds it, and false if the store has lost it: each host keeps lost values by
+// itself. A lost configuration is passed on all the same, since versions of configurations never go back. The caller holds
+// mu.
+func (w *Watch) storedValue(i storedItem) (storedItem, bool) {
+	lost, ok := w.lost[i.Key]
+	if !ok {
+		return i, true
+	}
+	if change, _ := w.decode(i.Item); change.Config != nil {
+		return i, true
+	}
+	return storedItem{Item: lost, contentRevision: lost.Revision}, !lost.Deleted
+}
+
+// ApplyCopy applies a peer's copy of the store or its changes, unless this host's copy is at a later revision or of a later
+// era. Changes alone cannot continue a copy of an earlier era. If the peer has recently regained the store, removals of
+// servers are delayed here too.
 func (w *Watch) ApplyCopy(c wire.Copy) {
 	revision := ident.Revision(c.Revision)
 	if c.Regained {
 		w.roster.StoreRecovered(w.deps.Now())
 	}
-	if revision < w.Revision() {
+	if known := w.Revision(); revision < known || !c.Full && revision.Era() != known.Era() {
 		return
 	}
 	items := make([]Item, len(c.Items))
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -56,17 +56,20 @@
 
 	mu                sync.Mutex
 	items             map[string]storedItem
-	deletions         []Item         // the latest ones, at most maxDeletions
-	droppedDeletions  ident.Revision // deletions up to this revision are no longer recorded
-	changeCh          chan struct{}  // closed at the next relevant change
-	failedReader      string         // address of the reader peer that failed last
-	failedUntil       time.Time      // time until which failedReader is not used
-	directReadUntil   time.Time      // time until which this host reads the store itself after two reader peers failed
-	revision          ident.Revision // revision up to which items are complete
-	confirmedAt       time.Time      // when the store or a peer's copy last confirmed revision
-	loaded            bool           // the copy is complete, so that no full read is needed
-	storeLost         bool           // the last call to the store failed
-	regainedUntil     time.Time      // time until which keys may still be missing after a store outage
+	deletions         []Item          // the latest ones, at most maxDeletions
+	droppedDeletions  ident.Revision  // deletions up to this revision are no longer recorded
+	changeCh          chan struct{}   // closed at the next relevant change
+	failedReader      string          // address of the reader peer that failed last
+	failedUntil       time.Time       // time until which failedReader is not used
+	directReadUntil   time.Time       // time until which this host reads the store itself after two reader peers failed
+	revision          ident.Revision  // revision up to which items are complete
+	confirmedAt       time.Time       // when the store or a peer's copy last confirmed revision
+	loaded            bool            // the copy was complete once
+	incomplete        bool            // the store does not continue the history that was read, so that a full read is needed
+	lost              map[string]Item // what the store holds in place of values that it lost in a restore, by key
+	rewriteUntil      time.Time       // time until which lost values may be written again; zero if none are awaited
+	storeLost         bool            // the last call to the store failed
+	regainedUntil     time.Time       // time until which keys may still be missing after a store outage
 	table             *table.Table
 	orders            map[ident.Service]MoveOrder
 	statuses          map[ident.Service]MoveStatus
@@ -96,8 +99,8 @@
 			continue
 		}
 		err := w.watchStore(ctx)
-		if errors.Is(err, store.ErrCompacted) {
-			w.deps.Log.Info("store dropped its history, reading all", "revision", int64(w.Revision()))
+		if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrNewEra) {
+			w.deps.Log.Info("history of the store is gone, reading all", "revision", int64(w.Revision()), "reason", err.Error())
 			w.forceFullRead()
 			continue
 		}
@@ -130,7 +133,7 @@
 func (w *Watch) peerReader() (string, bool) {
 	w.mu.Lock()
 	now := w.deps.Now()
-	direct := now.Before(w.directReadUntil) || !w.loaded
+	direct := now.Before(w.directReadUntil) || !w.loaded || w.incomplete
 	failed := ""
 	if now.Before(w.failedUntil) {
 		failed = w.failedReader
@@ -201,13 +204,13 @@
 func (w *Watch) needsFullRead() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.loaded
+	return !w.loaded || w.incomplete
 }
 
 func (w *Watch) forceFullRead() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.loaded = false
+	w.incomplete = true
 }
 
 // markStoreLost records that the store cannot be read, and logs it at the start of the outage.
@@ -235,14 +238,19 @@
 	w.deps.Log.Info("store regained", "revision", int64(w.revision))
 }
 
-// removalLoop applies delayed removals that are due. It calls OnChange if there were any or an evacuation has recently
-// ended.
+// removalLoop calls ApplyDue until ctx ends.
 func (w *Watch) removalLoop(ctx context.Context) {
-	ticker.Every(ctx, removalInterval, func() {
-		if w.roster.ApplyRemovals(w.deps.Now()) || w.checkEvacuationsEnded() {
-			w.deps.OnChange()
-		}
-	})
+	ticker.Every(ctx, removalInterval, w.ApplyDue)
+}
+
+// ApplyDue applies delayed removals that are due, also of keys that the store has lost in a restore. It calls OnChange if
+// there were any or an evacuation has recently ended.
+func (w *Watch) ApplyDue() {
+	removed := w.roster.ApplyRemovals(w.deps.Now())
+	rewritten := w.endRewriting()
+	if w.checkEvacuationsEnded() || removed || rewritten {
+		w.deps.OnChange()
+	}
 }
 
 // checkEvacuationsEnded reports whether any evacuation has recently ended, so that Servers may return more servers than
