Forward requests to peers while a host reaches no backend server, on the edge path

Cause: a request went to servers only from the host that its caller had chosen. A host without a path tried one to three servers, 0.4 s each, and refused. Class: a resource that others could reach stands behind one link.

Change: core/reach, pure, decides that a host is cut off: three servers in a row cannot be connected to (also while older connections live on), or give no answer while no other does. It then probes two servers each 0.25 s, and forwards requests over the link address to an active peer that is not cut off itself: of its zone, else its region, else another one, within the homes. A request to which two servers were unreachable is forwarded before that. A forwarded request is not forwarded again; the peer gets the attempts that are left, the service, the elapsed time, and says how many attempts it used; the team's rate is charged once, at the first host; retries count in its budget. Answers go back as they are, also streamed. Pauses of servers end when the cut does. Nothing is sent or opened while servers answer.

Ruled out: leaving the directory (callers keep their answer for up to 15 s, and the first try counts); connections alone as the sign (a silent middle accepts them).

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -135,6 +135,20 @@
 	b.regions.initialize(b.settings.Location.Region, slots)
 }
 
+// Resume ends the pauses of all servers. It is called when a host that was cut off reaches servers again: their faults were
+// not their own.
+func (b *Balancer) Resume() {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		for _, s := range p.servers {
+			s.recordSuccess()
+		}
+		p.mu.Unlock()
+	}
+}
+
 func (p *pool) update(list []roster.Entry, coldRate float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -102,6 +102,9 @@
 
 // Heartbeat from an edge host to its peers.
 type EdgeHeartbeat struct {
+	// True while the host reaches no backend server.
+	CutOff bool `json:"cut-off" cbor:"cut-off"`
+
 	// True once the host was told to stop.
 	Leaving bool `json:"leaving" cbor:"leaving"`
 
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -19,13 +19,17 @@
 	// until the deadline, whichever is longer, unless the server has answered any request since.
 	hedgeDelayFactor   = 4
 	hedgeDelayFraction = 0.5
+	// A server that has not answered for silenceFactor times the expected time, or for minSilence if that is longer, counts as
+	// silent if no other one has answered since.
+	silenceFactor = 2
+	minSilence    = 500 * time.Millisecond
 )
 
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	reply  *reply
 	server ident.BackendServer
-	sent   bool // a byte of the request may have reached the server
+	sent   int // number of servers that a byte of the request may have reached
 }
 
 // runAttempts sends the request to backend servers until there is a response to forward, or no further attempt is
@@ -42,7 +46,7 @@
 
 // chooseReply makes attempts until it can choose the reply to the request.
 func (e *Edge) chooseReply(q *request, attempts *attemptSet) *reply {
-	results := make(chan attemptResult, q.route.MaxAttempts+maxUnsent)
+	results := make(chan attemptResult, q.route.MaxAttempts+maxUnsent+maxPeers)
 	var best *reply
 	for {
 		reservation, refused := e.startAttempt(q, attempts, results)
@@ -74,18 +78,17 @@
 }
 
 // startAttempt starts an attempt at the best server. It returns a nil reservation with a refusal if no server can take the
-// request now, and without one if the retry budget is exhausted.
+// request now, and without one if the retry budget is exhausted or if the request was forwarded to a peer.
 func (e *Edge) startAttempt(q *request, attempts *attemptSet, results chan<- attemptResult) (*place.Reservation, *place.Refusal) {
+	if e.startPeerAttempt(q, attempts, results) {
+		return nil, nil
+	}
 	q.version = e.deps.Version(q.service)
 	reservation, refused := e.deps.Balancer.Pick(time.Now(), q.query())
 	if refused != nil {
 		return nil, refused
 	}
-	budget := e.budget(q.service)
-	switch {
-	case q.sent+q.unsent+q.running == 0:
-		budget.RecordFirstAttempt()
-	case q.sent+q.running > 0 && !budget.Spend():
+	if !e.takeBudget(q) {
 		reservation.Release(time.Now(), place.Outcome{Result: place.Canceled})
 		return nil, nil
 	}
@@ -100,10 +103,20 @@
 	return reservation, nil
 }
 
+// takeBudget counts a first attempt, or spends from the retry budget for a later one. It returns false if that is exhausted.
+func (e *Edge) takeBudget(q *request) bool {
+	budget := e.budget(q.service)
+	if q.sent+q.unsent+q.running == 0 {
+		budget.RecordFirstAttempt()
+		return true
+	}
+	return q.sent+q.running == 0 || budget.Spend()
+}
+
 // awaitAttempt waits for the result of an attempt. It returns hedge if the server of the latest attempt has answered
 // nothing for the hedge delay, so that another attempt should run in parallel.
 func (e *Edge) awaitAttempt(q *request, res *place.Reservation, results <-chan attemptResult) (r attemptResult, hedge bool) {
-	if res == nil || !q.idempotent() || !q.replayable() || q.sent+q.running >= q.route.MaxAttempts {
+	if res == nil || !q.idempotent() || !q.replayable() || q.sent+q.running >= q.maxAttempts() {
 		return <-results, false
 	}
 	left := time.Until(q.deadline)
@@ -124,12 +137,14 @@
 // recordResult counts an attempt that has ended.
 func (q *request) recordResult(r attemptResult) {
 	q.running--
-	if !r.sent {
+	if r.sent == 0 {
 		q.unsent++
 		return
 	}
-	q.sent++
-	q.sentTo = append(q.sentTo, r.server)
+	q.sent += r.sent
+	if r.server != "" {
+		q.sentTo = append(q.sentTo, r.server)
+	}
 	q.mayHaveRun = q.mayHaveRun || r.reply.attemptStatus == mayHaveRun || r.reply.attemptStatus == forwardable
 }
 
@@ -144,7 +159,7 @@
 	if r.attemptStatus == notSent {
 		return q.unsent < maxUnsent
 	}
-	return q.replayable() && q.sent < q.route.MaxAttempts
+	return q.replayable() && q.sent < q.maxAttempts()
 }
 
 // attempt sends the request to one server, releases the reservation and sends the result to results. The response is valid
@@ -153,7 +168,7 @@
 	server := &reservation.Server
 	e.addRunning(server, 1)
 	defer e.addRunning(server, -1)
-	result := attemptResult{reply: failedAttempt(outcomeBroken, mayHaveRun), server: server.ID, sent: true}
+	result := attemptResult{reply: failedAttempt(outcomeBroken, mayHaveRun), server: server.ID, sent: 1}
 	outcome := place.Outcome{Result: place.Broken}
 	if err := panics.Catch(func() { result, outcome = e.send(ctx, q, reservation) }); err != nil {
 		e.deps.Log.Error("attempt not made", "id", q.id(), "server", string(server.ID), "error", err.Error())
@@ -170,12 +185,33 @@
 	server := &reservation.Server
 	deadline := q.deadline.Add(-replyMargin)
 	sentAt := time.Now()
+	expected := max(minSilence, silenceFactor*(reservation.ExpectedWait+reservation.ExpectedRun))
+	silence := time.AfterFunc(expected, func() { e.deps.Reach.RecordSilent(time.Now(), server.ID, sentAt) })
+	defer silence.Stop()
 	response, connectTime, err := e.deps.Pool.Do(ctx, server.Address, q.serverRequest(server.ID, deadline), deadline)
 	reply, outcome := e.classifyResponse(ctx, q, reservation, response, err)
 	if response != nil && (response.Header.Get(q.protocol.Signature) != "" || outcome.Result == place.Shed) {
 		e.recordLimit(server, sentAt, response.Header.Get(q.protocol.Limit))
 	}
 	outcome.ConnectTime = connectTime
-	sent := !errors.Is(err, conns.ErrNotSent) && !errors.Is(err, conns.ErrCallerLeft)
+	e.recordReach(ctx, server.ID, deadline, connectTime, err)
+	sent := 1
+	if errors.Is(err, conns.ErrNotSent) || errors.Is(err, conns.ErrCallerLeft) {
+		sent = 0
+	}
 	return attemptResult{reply: reply, server: server.ID, sent: sent}, outcome
 }
+
+// recordReach records whether the attempt has reached the server, unless it ended before that could show.
+func (e *Edge) recordReach(ctx context.Context, server ident.BackendServer, deadline time.Time, connectTime time.Duration, err error) {
+	now := time.Now()
+	switch {
+	case err == nil:
+		e.deps.Reach.RecordAnswer(now, connectTime > 0)
+	case ctx.Err() != nil || now.After(deadline):
+	case errors.Is(err, conns.ErrNotSent):
+		e.deps.Reach.RecordUnopened(now, server)
+	case errors.Is(err, conns.ErrBroken):
+		e.deps.Reach.RecordBroken(now, server)
+	}
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -15,6 +15,7 @@
 	"jayshift/core/limit"
 	"jayshift/core/place"
 	"jayshift/core/poison"
+	"jayshift/core/reach"
 	"jayshift/core/retry"
 	"jayshift/core/roster"
 	"jayshift/core/table"
@@ -34,6 +35,13 @@
 	Pool     *conns.Pool
 	Rates    *rates.Limiter
 	Poison   *poison.Detector
+	// Host is this host's name. Reach tells whether this host is cut off from all backend servers. Peer then selects the peer
+	// to forward a request to, other than those tried, and only in the regions if it is restricted; PeerPool holds the
+	// connections to peers.
+	Host     ident.Host
+	Reach    *reach.Detector
+	Peer     func(regions []ident.Region, restricted bool, tried []ident.Host) (Peer, bool)
+	PeerPool *conns.Pool
 	// All hosts together may send RetryRatio retries per request, plus RetrySlack retries in a window. HostCount returns
 	// the number of hosts that share this budget.
 	RetryRatio float64
@@ -111,6 +119,9 @@
 	if q.callerLeft() {
 		return refusal(outcomeCallerLeft, http.StatusServiceUnavailable, defaultRetryAfter)
 	}
+	if q.from != "" {
+		return e.handleForwarded(q)
+	}
 	charge, ok, retryAfter := e.deps.Rates.Take(q.ctx, q.team)
 	q.charge = charge
 	if !ok {
@@ -123,6 +134,14 @@
 	return reply
 }
 
+// handleForwarded sends a request that a peer has forwarded to backend servers, unless this host is cut off from them too.
+func (e *Edge) handleForwarded(q *request) *reply {
+	if e.deps.Reach.CutOff() {
+		return refusal(outcomeCutOff, http.StatusServiceUnavailable, defaultRetryAfter)
+	}
+	return e.runAttempts(q)
+}
+
 func (e *Edge) budget(s ident.Service) *retry.Budget {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -21,6 +21,7 @@
 	"jayshift/core/place"
 	"jayshift/core/poison"
 	"jayshift/core/quota"
+	"jayshift/core/reach"
 	"jayshift/core/roster"
 	"jayshift/core/table"
 	"jayshift/io/conns"
@@ -159,6 +160,8 @@
 		RecordOutcome:   func(roster.Server, ident.Route, bool, float64) {},
 		BroadcastStrike: func(poison.Fingerprint, ident.BackendServer) {},
 		MarkEnded:       func(s roster.Server) { f.ended = append(f.ended, s) }, Count: func(edge.Sample) {},
+		Host: "a", Reach: reach.New(), PeerPool: conns.New(protocol.RequestID, 1<<20),
+		Peer: func([]ident.Region, bool, []ident.Host) (edge.Peer, bool) { return edge.Peer{}, false },
 	})
 	return f
 }
--- /dev/null
+++ b/io/edge/peer.go
@@ -0,0 +1,173 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"jayshift/core/ident"
+	"jayshift/core/table"
+	"jayshift/io/conns"
+)
+
+const (
+	maxPeers = 2 // peers that one request is forwarded to
+	// minUnreachable is the number of servers to which no connection could be opened after which a request is forwarded,
+	// although the host does not count as cut off yet.
+	minUnreachable = 2
+)
+
+// Headers of a request that is forwarded to a peer, and of the peer's response.
+const (
+	forwardedHeader = "Jayshift-Forwarded"    // name of the host that took the request from the caller
+	serviceHeader   = "Jayshift-Service"      // service that the host has selected
+	attemptsHeader  = "Jayshift-Max-Attempts" // backend servers that the request may still be sent to
+	elapsedHeader   = "Jayshift-Elapsed-Ms"   // milliseconds since the caller's request was read
+	sentHeader      = "Jayshift-Sent"         // in the response: attempts that may have reached a backend server
+)
+
+// Peer is another host that can send a request to backend servers in place of this one.
+type Peer struct {
+	Host    ident.Host
+	Address string
+}
+
+// IsForwarded reports whether a request on the link address was forwarded by a peer.
+func IsForwarded(r *http.Request) bool { return r.Header.Get(forwardedHeader) != "" }
+
+// startPeerAttempt forwards the request to a peer if this host is cut off from the backend servers, or has just found several
+// of them unreachable. It reports whether it did. A forwarded request is never forwarded again.
+func (e *Edge) startPeerAttempt(q *request, attempts *attemptSet, results chan<- attemptResult) bool {
+	if q.from != "" || len(q.peers) >= maxPeers || !e.deps.Reach.CutOff() && q.unsent < minUnreachable {
+		return false
+	}
+	regions, restricted := table.AllowedRegions(q.route, q.teamConfig)
+	peer, ok := e.deps.Peer(regions, restricted, q.peers)
+	if !ok || !e.takeBudget(q) {
+		return false
+	}
+	q.peers = append(q.peers, peer.Host)
+	q.running++
+	ctx, index := attempts.add(q.ctx)
+	if q.idempotent() {
+		go e.attemptAtPeer(ctx, index, q, peer, results)
+	} else {
+		e.attemptAtPeer(ctx, index, q, peer, results)
+	}
+	return true
+}
+
+// attemptAtPeer forwards the request to the peer and sends the result to results.
+func (e *Edge) attemptAtPeer(ctx context.Context, index int, q *request, peer Peer, results chan<- attemptResult) {
+	left := max(1, q.maxAttempts()-q.sent)
+	response, _, err := e.deps.PeerPool.Do(ctx, peer.Address, q.peerRequest(e.deps.Host, left), q.deadline.Add(peerMargin))
+	result := peerResult(ctx, q, response, err, left)
+	result.reply.attempt = index
+	results <- result
+}
+
+// peerMargin is added to the deadline for the peer's response, so that the peer's reply to a late request is not lost.
+const peerMargin = 100 * time.Millisecond
+
+// peerRequest returns the request to forward to a peer, with the caller's API key and deadline as they were received.
+func (q *request) peerRequest(self ident.Host, maxAttempts int) conns.Request {
+	r := q.serverRequest("", q.deadline)
+	h := q.r.Header.Clone()
+	removeHopByHop(h)
+	h.Set(forwardedHeader, string(self))
+	h.Set(serviceHeader, string(q.service))
+	h.Set(attemptsHeader, strconv.Itoa(maxAttempts))
+	h.Set(elapsedHeader, strconv.FormatInt(time.Since(q.started).Milliseconds(), 10))
+	r.Header = h
+	return r
+}
+
+// peerResult returns the result of an attempt at a peer. If the peer's response is lost, all attempts that it was allowed
+// count as sent.
+func peerResult(ctx context.Context, q *request, response *conns.Response, err error, allowed int) attemptResult {
+	switch {
+	case errors.Is(err, conns.ErrCallerLeft):
+		return attemptResult{reply: failedAttempt(outcomeCallerLeft, notSent)}
+	case errors.Is(err, conns.ErrNotSent) && ctx.Err() == nil:
+		return attemptResult{reply: failedAttempt(outcomeUnreachable, notSent)}
+	case err != nil && ctx.Err() != nil:
+		return attemptResult{reply: failedAttempt(outcomeCallerLeft, mayHaveRun), sent: allowed}
+	case errors.Is(err, conns.ErrTimeout):
+		return attemptResult{reply: failedAttempt(outcomeSilent, mayHaveRun), sent: allowed}
+	case err != nil:
+		return attemptResult{reply: failedAttempt(outcomeBroken, mayHaveRun), sent: allowed}
+	}
+	sent, err := strconv.Atoi(response.Header.Get(sentHeader))
+	if err != nil || sent < 0 {
+		sent = allowed
+	}
+	response.Header.Del(sentHeader)
+	return attemptResult{reply: peerReply(q, response), sent: sent}
+}
+
+// peerReply returns the reply for a peer's response: that of a backend server, or one of the peer itself.
+func peerReply(q *request, response *conns.Response) *reply {
+	if response.Header.Get(q.protocol.Signature) != "" {
+		if response.Status >= http.StatusInternalServerError {
+			r := forwarded(response, mayHaveRun)
+			r.outcome = outcomeServerFailed
+			return r
+		}
+		return forwarded(response, forwardable)
+	}
+	status := mayHaveRun
+	if response.Status != http.StatusBadGateway && response.Status != http.StatusGatewayTimeout {
+		status = notRun
+	}
+	r := failedAttempt(outcomePeerRefused, status)
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && seconds > 0 && seconds < maxRetryAfterSeconds {
+		r.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	return r
+}
+
+// maxRetryAfterSeconds bounds the Retry-After of a peer that is believed.
+const maxRetryAfterSeconds = 60
+
+// ServePeer serves a request that a peer has forwarded. The peer has charged the team's rate.
+func (e *Edge) ServePeer(w http.ResponseWriter, r *http.Request) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	q := newRequest(r.Context(), &e.deps.Protocol, r, time.Now())
+	q.takeForwarded()
+	reply := e.handle(q)
+	e.recordSample(q, reply)
+	e.log(q, reply)
+	response := reply.toHTTP(q)
+	if response.Release != nil {
+		defer response.Release()
+	}
+	if response.Abort {
+		panic(http.ErrAbortHandler)
+	}
+	h := w.Header()
+	for name, values := range response.Header {
+		h[name] = values
+	}
+	h.Set(sentHeader, strconv.Itoa(q.sent))
+	suppressDefaults(h)
+	writePeerResponse(w, response.Status, response.ContentLength, response.Body, response.BodyStream)
+}
+
+// takeForwarded moves what the peer has added from the headers of a forwarded request to the request.
+func (q *request) takeForwarded() {
+	h := q.r.Header
+	q.from = ident.Host(h.Get(forwardedHeader))
+	q.serviceWanted = ident.Service(h.Get(serviceHeader))
+	if n, err := strconv.Atoi(h.Get(attemptsHeader)); err == nil && n > 0 {
+		q.attemptLimit = n
+	}
+	if ms, err := strconv.ParseInt(h.Get(elapsedHeader), 10, 32); err == nil && ms > 0 {
+		q.started = q.started.Add(-time.Duration(ms) * time.Millisecond)
+	}
+	for _, name := range []string{forwardedHeader, serviceHeader, attemptsHeader, elapsedHeader} {
+		h.Del(name)
+	}
+}
--- a/io/edge/reply.go
+++ b/io/edge/reply.go
@@ -32,6 +32,8 @@
 	outcomeCallerLeft      Outcome = "caller-left"
 	outcomeSilent          Outcome = "silent" // no response before the deadline
 	outcomeBroken          Outcome = "broken"
+	outcomePeerRefused     Outcome = "peer-refused"   // the peer that the request was forwarded to could not have it run
+	outcomeCutOff          Outcome = "cut-off"        // forwarded by a peer, but this host reaches no server either
 	outcomeForeign         Outcome = "foreign-answer" // response that the server did not sign, or that has a content encoding
 )
 
@@ -106,7 +108,7 @@
 	}
 	switch {
 	case !q.mayHaveRun:
-		return refusal(r.outcome, http.StatusServiceUnavailable, defaultRetryAfter)
+		return refusal(r.outcome, http.StatusServiceUnavailable, max(defaultRetryAfter, r.retryAfter))
 	case r.outcome == outcomeSilent:
 		return finalError(r.outcome, http.StatusGatewayTimeout)
 	default:
--- a/io/edge/request.go
+++ b/io/edge/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -45,6 +46,11 @@
 	restOfBody io.Reader // rest of the body after the buffered part, nil for none
 	fp         poison.Fingerprint
 
+	from          ident.Host    // host that has forwarded the request, empty if it came from a caller
+	serviceWanted ident.Service // service that this host has selected for it
+	attemptLimit  int           // maximum number of servers to send it to, in addition to the route's, 0 for none
+	peers         []ident.Host  // peers that the request was forwarded to
+
 	charge     rates.Charge // what the team's rate was charged
 	running    int          // attempts that have not ended
 	sent       int          // ended attempts that may have reached a backend server
@@ -83,13 +89,28 @@
 		return rejection
 	}
 	q.setDeadline()
-	q.service = e.splitter.next(q.route)
+	if q.service = q.serviceWanted; !q.routeHas(q.service) {
+		q.service = e.splitter.next(q.route)
+	}
 	if q.table.Limits.MaxBodyBytes > 0 && q.r.ContentLength > q.table.Limits.MaxBodyBytes {
 		return finalError(outcomeTooLarge, http.StatusRequestEntityTooLarge)
 	}
 	return nil
 }
 
+// routeHas reports whether the route sends requests to the service.
+func (q *request) routeHas(s ident.Service) bool {
+	return slices.ContainsFunc(q.route.Services, func(w table.WeightedService) bool { return w.Service == s })
+}
+
+// maxAttempts returns the number of servers that the request may be sent to.
+func (q *request) maxAttempts() int {
+	if q.attemptLimit > 0 {
+		return min(q.route.MaxAttempts, q.attemptLimit)
+	}
+	return q.route.MaxAttempts
+}
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
@@ -154,7 +175,7 @@
 		return nil
 	}
 	q.version = e.deps.Version(q.service)
-	if q.r.ContentLength < 0 || q.r.ContentLength > largeBody {
+	if !e.deps.Reach.CutOff() && (q.r.ContentLength < 0 || q.r.ContentLength > largeBody) {
 		if refused := e.deps.Balancer.Check(time.Now(), q.query()); refused != nil {
 			return refusal(Outcome(refused.Reason), http.StatusServiceUnavailable, refused.RetryAfter)
 		}
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -26,7 +26,7 @@
 	n.updateLimits(now)
 	names, sum := n.quota.TeamNames()
 	h := wire.EdgeHeartbeat{
-		Ready: n.ready(), Leaving: n.leaving.Load(), Reads: !n.watch.StoreLost(), Revision: int(n.watch.Revision()),
+		Ready: n.ready(), Leaving: n.leaving.Load(), Reads: !n.watch.StoreLost(), CutOff: n.reach.CutOff(), Revision: int(n.watch.Revision()),
 		Teams: sum, Usage: quota.Encode(names, n.quota.ReportUsage(now)), Limits: n.limitReports(now),
 	}
 	if t := n.watch.Table(); t != nil {
--- a/io/node/lifecycle.go
+++ b/io/node/lifecycle.go
@@ -12,6 +12,7 @@
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
 
+	"jayshift/io/edge"
 	"jayshift/io/httpd"
 	"jayshift/io/peer"
 	"jayshift/io/serve"
@@ -45,6 +46,13 @@
 	linkMux := http.NewServeMux()
 	linkMux.Handle("GET /v1/link", n.mesh)
 	linkMux.HandleFunc("GET "+peer.CopyPath, n.peers.ServeCopy)
+	linkHandler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if edge.IsForwarded(r) {
+			n.edge.ServePeer(w, r)
+			return
+		}
+		linkMux.ServeHTTP(w, r)
+	})
 	n.callerServer = httpd.New(listeners["caller"], n.log)
 	n.callerServer.Handle, n.callerServer.DisableKeepAlives, n.callerServer.Limits = n.edge.Serve, n.leaving.Load, n.callerLimits
 	n.callerServer.MaxConns = socket.MaxCallers(n.settings.MaxDescriptors)
@@ -52,7 +60,7 @@
 	metricsMux.Handle("GET /metrics", n.meter)
 	servers := []transport.Server{
 		n.callerServer, serve.New(listeners["directory"], n.platform.Directory(n.directory)),
-		serve.New(listeners["ready"], n.platform.Ready(n.ready)), serve.New(listeners["link"], linkMux),
+		serve.New(listeners["ready"], n.platform.Ready(n.ready)), serve.New(listeners["link"], linkHandler),
 		serve.New(listeners["metrics"], metricsMux),
 	}
 	serve.SetFrameworkLogger(n.log)
@@ -79,6 +87,7 @@
 	go n.peers.Run(n.ctx)
 	go n.rolls.Run(n.ctx)
 	go n.sweepConnections(n.ctx)
+	go n.probeServers(n.ctx)
 	go n.handleSignals(signals)
 	n.log.Info("host started", "host", n.settings.Name, "zone", n.settings.Zone, "region", n.settings.Region)
 	err := n.app.Run()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -17,6 +17,7 @@
 	"jayshift/core/place"
 	"jayshift/core/poison"
 	"jayshift/core/quota"
+	"jayshift/core/reach"
 	"jayshift/core/wire"
 	"jayshift/io/conns"
 	"jayshift/io/edge"
@@ -79,6 +80,7 @@
 	quota    *quota.Limiter
 	rates    *rates.Limiter
 	limits   *limit.Limiter
+	reach    *reach.Detector
 	poison   *poison.Detector
 	evidence *canary.Evidence
 	gate     *canary.Gate
@@ -149,6 +151,8 @@
 		Location: place.Location{Zone: ident.AvailabilityZone(s.Zone), Region: ident.Region(s.Region)},
 		Weights:  place.DefaultWeights(), WarmsUp: newWarmer(self, n.regionPeers).warmsUp,
 	})
+	n.reach = reach.New()
+	n.reach.OnChange = n.reachChanged
 	n.edge = n.newEdge()
 }
 
@@ -157,8 +161,9 @@
 		Protocol: n.platform.Protocol, Log: n.log, Table: n.watch.Table, Balancer: n.balancer, Limits: n.limits, Pool: n.pool, Rates: n.rates,
 		Poison: n.poison, RetryRatio: n.platform.RetryRatio, RetrySlack: n.platform.RetrySlack, HostCount: n.hostCount,
 		Version: n.rolls.Version, RecordOutcome: n.recordOutcome, BroadcastStrike: n.broadcastStrike,
-		MarkEnded: n.watch.MarkEnded,
-		Count:     n.meter.RecordRequest,
+		MarkEnded: n.watch.MarkEnded, Host: ident.Host(n.settings.Name), Reach: n.reach, Peer: n.forwardingPeer,
+		PeerPool: conns.New(n.platform.Protocol.RequestID, int64(n.settings.BodyBufferMB)*megabyte),
+		Count:    n.meter.RecordRequest,
 	})
 }
 
@@ -175,6 +180,7 @@
 	}
 	n.quota.SetRates(now, rates)
 	servers := n.watch.Servers()
+	n.reach.SetKnown(len(servers))
 	n.rolls.SetServers(servers)
 	n.balancer.Update(servers, func(service ident.Service) float64 {
 		if s, ok := t.Service(service); ok {
