Believe in a cut only after probes have failed too

Change: besides three servers in a row, all of a round of three probes must fail; probes begin at two failures. A request to which two servers were unreachable is forwarded in the meantime, as before.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -12,9 +12,12 @@
 	// minFailed is the number of backend servers that must fail, one after another without a success in between, before the
 	// host counts as cut off. If it knows fewer servers, all of them must.
 	minFailed = 3
-	// minSuspected is the number from which the host probes other servers by itself.
+	// minSuspected is the number from which the host probes other servers by itself. Servers that are down may be several, so
+	// that ProbeSize probes must fail as well.
 	minSuspected  = 2
 	probeInterval = 250 * time.Millisecond
+	// ProbeSize is the number of servers to probe at a time.
+	ProbeSize = 3
 	// failureRetention is how long a failure counts. Failures far apart are those of single servers.
 	failureRetention = 3 * time.Second
 )
@@ -32,6 +35,7 @@
 	unopened   failures // no connection could be opened, since one that was opened had an answer
 	unanswered failures // a request had no answer, since any answer
 	answeredAt time.Time
+	probes     int // that have failed since an answer on a new connection
 	known      int // number of servers that requests may be sent to
 	cutOff     bool
 	probedAt   time.Time
@@ -56,6 +60,7 @@
 	clear(d.unanswered)
 	if newConnection {
 		clear(d.unopened)
+		d.probes = 0
 	}
 	changed := d.updateCutOff()
 	d.mu.Unlock()
@@ -85,6 +90,18 @@
 	}
 }
 
+// RecordProbe records that a probe of the server failed: no connection could be opened, or it had no answer.
+func (d *Detector) RecordProbe(now time.Time, server ident.BackendServer, opened bool) {
+	d.mu.Lock()
+	d.probes++
+	d.mu.Unlock()
+	if opened {
+		d.RecordBroken(now, server)
+		return
+	}
+	d.RecordUnopened(now, server)
+}
+
 func (d *Detector) recordFailure(now time.Time, f failures, server ident.BackendServer) {
 	d.mu.Lock()
 	f[server] = now
@@ -101,7 +118,8 @@
 func (d *Detector) updateCutOff() (changed bool) {
 	before := d.cutOff
 	most := max(len(d.unopened), len(d.unanswered))
-	d.cutOff = most >= max(1, min(minFailed, d.known)) || before && most > 0
+	failed := most >= max(1, min(minFailed, d.known)) && d.probes >= max(1, min(ProbeSize, d.known))
+	d.cutOff = failed || before && most > 0
 	return d.cutOff != before
 }
 
@@ -117,6 +135,9 @@
 			}
 		}
 	}
+	if len(d.unopened)+len(d.unanswered) == 0 {
+		d.probes = 0
+	}
 }
 
 // CutOff reports whether the host is cut off from all backend servers, as far as it knows.
@@ -132,7 +153,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forgetOld(now)
-	suspected := max(len(d.unopened), len(d.unanswered)) >= minSuspected
+	suspected := max(len(d.unopened), len(d.unanswered)) >= max(1, min(minSuspected, d.known))
 	if !d.cutOff && !suspected || now.Sub(d.probedAt) < probeInterval {
 		return false
 	}
--- a/io/node/reach.go
+++ b/io/node/reach.go
@@ -17,9 +17,8 @@
 )
 
 const (
-	reachInterval   = 100 * time.Millisecond // between checks whether to probe
-	probeTimeout    = 800 * time.Millisecond
-	serversPerProbe = 2
+	reachInterval = 50 * time.Millisecond // between checks whether to probe
+	probeTimeout  = 800 * time.Millisecond
 )
 
 // probeServers probes backend servers while several of them do not answer requests, until ctx ends.
@@ -41,7 +40,7 @@
 	slices.SortStableFunc(list, func(a, b roster.Entry) int {
 		return boolToInt(n.reach.Failed(a.ID)) - boolToInt(n.reach.Failed(b.ID))
 	})
-	return list[:min(len(list), serversPerProbe)]
+	return list[:min(len(list), reach.ProbeSize)]
 }
 
 // probe asks a server for its health. Any answer shows that this host reaches it.
@@ -59,14 +58,11 @@
 	deadline, _ := ctx.Deadline()
 	request := conns.Request{Method: http.MethodGet, Target: service.HealthPath, Host: s.Address, Header: http.Header{}}
 	_, _, err := n.pool.Do(ctx, s.Address, request, deadline)
-	switch {
-	case err == nil:
+	if err == nil {
 		n.reach.RecordAnswer(time.Now(), true)
-	case errors.Is(err, conns.ErrNotSent):
-		n.reach.RecordUnopened(time.Now(), s.ID)
-	default:
-		n.reach.RecordBroken(time.Now(), s.ID)
+		return
 	}
+	n.reach.RecordProbe(time.Now(), s.ID, !errors.Is(err, conns.ErrNotSent))
 }
 
 // reachChanged is called when this host becomes cut off from all backend servers, or reaches one again.
