--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -38,6 +38,7 @@
 	probes     int // that have failed since an answer on a new connection
 	known      int // number of servers that requests may be sent to
 	cutOff     bool
+	endedAt    time.Time // when the last cut ended
 	probedAt   time.Time
 }
 
@@ -63,6 +64,9 @@
 		d.probes = 0
 	}
 	changed := d.updateCutOff()
+	if changed {
+		d.endedAt = now
+	}
 	d.mu.Unlock()
 	if changed {
 		d.OnChange(false)
@@ -147,6 +151,13 @@
 	return d.cutOff
 }
 
+// CutOffSince reports whether the host was cut off at any time since the given one.
+func (d *Detector) CutOffSince(t time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cutOff || d.endedAt.After(t)
+}
+
 // TakeProbe reports whether a server is to be probed now, to find out whether the host is cut off or no longer so. It
 // returns true at most once in probeInterval, and never while servers answer.
 func (d *Detector) TakeProbe(now time.Time) bool {
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,7 +117,8 @@
 	backends []*backend
 	ended    []roster.Server
 	reach    *reach.Detector
-	peers    []edge.Peer // that requests are forwarded to, in this order
+	strikes  atomic.Int64 // told to peers
+	peers    []edge.Peer  // that requests are forwarded to, in this order
 }
 
 // peer returns the first peer that was not tried.
@@ -179,7 +181,7 @@
 		Pool: conns.New(protocol.RequestID, 1<<20), Rates: rates.New(rates.Deps{Self: "a", Quota: f.quota, Counters: func() []ident.Host { return nil }, Now: time.Now}), Poison: poison.New(), RetryRatio: 1, RetrySlack: 100,
 		HostCount: func() int { return 1 }, Version: func(ident.Service) ident.Version { return "" },
 		RecordOutcome:   func(roster.Server, ident.Route, bool, float64) {},
-		BroadcastStrike: func(poison.Fingerprint, ident.BackendServer) {},
+		BroadcastStrike: func(poison.Fingerprint, ident.BackendServer) { f.strikes.Add(1) },
 		MarkEnded:       func(s roster.Server) { f.ended = append(f.ended, s) }, Count: func(edge.Sample) {},
 		Host: "a", Reach: f.reach, PeerPool: conns.New(protocol.RequestID, 1<<20),
 		Peer: func(q reach.Query) (edge.Peer, bool) { return f.peer(q) },
