Give peers of a reader that has just started all keys

Cause: a host that reads the store for its region knows no deletions from before its own first read. It sent a peer, whose copy was older, only the changes that it knew, so that a backend server that had left stayed in use there. TestPeerOfAYoungReaderHearsOfDeletions failed before: the deleted server was in use.

Change: the first full read marks all earlier deletions as not recorded; a peer from before it gets all keys.

--- a/io/watch/apply.go
+++ b/io/watch/apply.go
@@ -15,6 +15,9 @@
 	} else {
 		items = w.addDeletions(items, revision)
 	}
+	if !w.loaded {
+		w.droppedDeletions = revision // what was deleted before is not known here
+	}
 	w.loaded, w.incomplete = true, false
 	w.mu.Unlock()
 	w.applyItems(items, revision)
--- a/io/watch/restore_test.go
+++ b/io/watch/restore_test.go
@@ -282,3 +282,21 @@
 	}
 	is.Equal(serverIDs(w), "a")
 }
+
+// TestPeerOfAYoungReaderHearsOfDeletions checks that a host gets all keys from a reader that has read the store only after keys
+// were deleted that the host knows.
+func TestPeerOfAYoungReaderHearsOfDeletions(t *testing.T) {
+	is := is.New(t)
+	d := newDrill(rand.New(rand.NewPCG(1, 1)), 2)
+	d.write("config", "1")
+	d.write("server/1", "5")
+	d.read(d.hosts[0])
+	d.put("server/1", "", true)
+	d.write("config", "2")
+	d.read(d.hosts[1])
+	c, ok := d.hosts[1].Copy(context.Background(), d.hosts[0].Revision())
+	is.True(ok)
+	d.hosts[0].ApplyCopy(c)
+	is.Equal(serverIDs(d.hosts[0]), "")
+	is.Equal(d.hosts[0].Table().Version, table.Version(2))
+}
