--- /dev/null
+++ b/io/peer/bytes_test.go
@@ -0,0 +1,84 @@
+package peer_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"jayshift/core/ident"
+	"jayshift/core/wire"
+)
+
+// moveOutcomes returns what a host reports during a move of one service: both versions, on four routes.
+func moveOutcomes() []wire.Evidence {
+	var list []wire.Evidence
+	for _, version := range []string{"v1", "v2"} {
+		for route := range 4 {
+			list = append(list, wire.Evidence{
+				Service: "service-a", Version: version, Route: fmt.Sprintf("route-%d", route), Requests: 3, Failures: 1, LatencyMs: 312.5,
+			})
+		}
+	}
+	return list
+}
+
+// TestRelaysFitTheirLinks lets every host of 300 report outcomes of a move: what a relay sends must leave half of a link of
+// 12 Mbit/s to requests and copies of the store.
+func TestRelaysFitTheirLinks(t *testing.T) {
+	const (
+		linkBytes = 12e6 / 8 // a second
+		maxShare  = 0.5
+		seconds   = 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 300)
+		f.setEvidence(moveOutcomes)
+		time.Sleep(settleTime)
+		before := f.bytes()
+		time.Sleep(seconds * time.Second)
+		after := f.bytes()
+		most, busiest := 0.0, ident.Host("")
+		for name := range f.hosts {
+			if perSecond := float64(after[name]-before[name]) / seconds; perSecond > most {
+				most, busiest = perSecond, name
+			}
+		}
+		t.Logf("%s sends %.0f kB a second", busiest, most/1e3)
+		is.True(most <= maxShare*linkBytes)
+		for _, h := range f.hosts {
+			h.cancel()
+		}
+	})
+}
+
+// TestOutcomesReachAllOnce checks that each host hears the outcomes of every other host once, also when relays add them up.
+func TestOutcomesReachAllOnce(t *testing.T) {
+	for _, n := range []int{10, 60, 200} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, n)
+				time.Sleep(settleTime)
+				f.setEvidence(func() []wire.Evidence { return []wire.Evidence{{Service: "a", Version: "v", Route: "r", Requests: 1, LatencyMs: 2}} })
+				const rounds = 6
+				time.Sleep(rounds * 500 * time.Millisecond)
+				f.setEvidence(func() []wire.Evidence { return nil })
+				time.Sleep(2 * time.Second)
+				total := 0
+				for _, h := range f.hosts {
+					total += h.reported
+				}
+				for _, h := range f.hosts {
+					is.Equal(h.heard, total-h.reported)
+				}
+				for _, h := range f.hosts {
+					h.cancel()
+				}
+			})
+		})
+	}
+}
--- a/io/peer/fleet_test.go
+++ b/io/peer/fleet_test.go
@@ -34,6 +34,8 @@
 	resumed *sync.Cond // signaled when a paused host goes on
 	hosts   map[ident.Host]*host
 	entry   map[ident.Host]wire.Edge
+
+	evidence func() []wire.Evidence // that each host reports with its next heartbeat
 }
 
 type host struct {
@@ -50,11 +52,13 @@
 
 	sent, received, entries int // frames sent and received, and entries and ids in the received ones
 	messages                int // strikes received
+	bytes                   int // of the frames sent
+	reported, heard         int // requests in the outcomes that it has reported and that it has received
 }
 
 // newFleet starts n hosts.
 func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{hosts: map[ident.Host]*host{}, entry: map[ident.Host]wire.Edge{}}
+	f := &fleet{hosts: map[ident.Host]*host{}, entry: map[ident.Host]wire.Edge{}, evidence: func() []wire.Evidence { return nil }}
 	f.resumed = sync.NewCond(&f.mu)
 	for i := range n {
 		zone := i % zoneCount
@@ -90,10 +94,17 @@
 		Send:      func(to ident.Host, m wire.Frame) error { return h.send(to, m, true) },
 		Reply:     func(to ident.Host, m wire.Frame) error { return h.send(to, m, false) },
 		Heartbeat: func() wire.EdgeHeartbeat { return wire.EdgeHeartbeat{Ready: true} },
-		Evidence:  func() []wire.Evidence { return nil },
+		Evidence: func() []wire.Evidence {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			list := f.evidence()
+			h.reported += requests(list)
+			return list
+		},
 		OnMessage: func(m wire.Relayed) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
+			h.heard += requests(m.Evidence)
 			if m.Strike != nil {
 				h.messages++
 			}
@@ -105,6 +116,33 @@
 	h.run = func() { h.peers.Run(ctx) }
 }
 
+// requests returns the number of requests in outcomes.
+func requests(list []wire.Evidence) int {
+	n := 0
+	for _, e := range list {
+		n += e.Requests
+	}
+	return n
+}
+
+// setEvidence sets what each host reports with its next heartbeats.
+func (f *fleet) setEvidence(evidence func() []wire.Evidence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evidence = evidence
+}
+
+// bytes returns the bytes that each host has sent so far.
+func (f *fleet) bytes() map[ident.Host]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := map[ident.Host]int{}
+	for name, h := range f.hosts {
+		list[name] = h.bytes
+	}
+	return list
+}
+
 func (f *fleet) leaseHolders() map[ident.Host]wire.Edge { return f.entry }
 
 func (h *host) hello() wire.Hello {
@@ -154,6 +192,8 @@
 		return link.ErrNoLink
 	}
 	h.sent++
+	data, _ := link.Encode(&m)
+	h.bytes += len(data)
 	delay := sameZone
 	if h.edge.Region != target.edge.Region {
 		delay = otherRegion
