Leave teams without demand out of a host's usage reports

Change: a report holds the teams with demand only; the receiver keeps what a peer has admitted by team, so that nothing is counted anew.

TestNeverBeyond and the others of core/quota and io/rates hold.

--- a/core/quota/encoding.go
+++ b/core/quota/encoding.go
@@ -30,14 +30,14 @@
 // numbersPerTeam is the number of numbers that Encode returns for a team with usage.
 const numbersPerTeam = 3
 
-// Encode returns three numbers for each team with usage: the team's index in names, the demand in hundredths of a request
-// per second and the number of admitted requests.
+// Encode returns three numbers for each team with demand: the team's index in names, the demand in hundredths of a request
+// per second and the number of admitted requests. Without demand, no request was admitted since the last report.
 func Encode(names []ident.Team, usage map[ident.Team]Usage) []int {
 	var list []int
 	for i, name := range names {
 		u := usage[name]
 		demand, admitted := int(math.Round(u.Demand*demandScale)), int(u.Admitted)
-		if demand > 0 || admitted > 0 {
+		if demand > 0 {
 			list = append(list, i, demand, admitted)
 		}
 	}
--- a/core/quota/shares.go
+++ b/core/quota/shares.go
@@ -9,7 +9,8 @@
 
 // peer is the state of another host.
 type peer struct {
-	usage      map[ident.Team]Usage
+	usage      map[ident.Team]Usage   // its last report
+	admitted   map[ident.Team]float64 // requests that it has admitted, by its last report on each team
 	listedAt   time.Time // when it was last listed as a lease holder
 	reportedAt time.Time // when its last usage report arrived
 	down       bool      // it is no longer listed as a lease holder
@@ -50,20 +51,22 @@
 func (l *Limiter) peer(host ident.Host) *peer {
 	p := l.peers[host]
 	if p == nil {
-		p = &peer{}
+		p = &peer{admitted: map[ident.Team]float64{}}
 		l.peers[host] = p
 	}
 	return p
 }
 
-// RecordPeerUsage processes a peer's usage report and marks the peer as alive. The report may be empty.
+// RecordPeerUsage processes a peer's usage report and marks the peer as alive. The report may be empty, and omits teams
+// without demand.
 func (l *Limiter) RecordPeerUsage(now time.Time, host ident.Host, usage map[ident.Team]Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.peer(host)
 	l.subtractUsage(p)
 	for team, u := range usage {
-		s, prev := l.teams[team], p.usage[team].Admitted
+		s, prev := l.teams[team], p.admitted[team]
+		p.admitted[team] = u.Admitted
 		if s == nil || prev == 0 {
 			continue // without an earlier report, the requests may have been admitted long ago
 		}
