Choose the hosts with the most bandwidth as relays

Change: the setting link-mbit, which the platform's template fills in, is part of a host's registration; of each zone the hosts with the most bandwidth are relays, from 50 Mbit/s on by their hash as before. Hosts of earlier builds state none and come last; views that differ are allowed, since any host relays for those that send to it.

TestRelaysWithTheMostBandwidthAreChosen fails without the change (not compiled before). TestEveryHostIsReached, TestLostRelay and the others hold.

--- a/core/quota/shares.go
+++ b/core/quota/shares.go
@@ -11,10 +11,10 @@
 type peer struct {
 	usage      map[ident.Team]Usage   // its last report
 	admitted   map[ident.Team]float64 // requests that it has admitted, by its last report on each team
-	listedAt   time.Time // when it was last listed as a lease holder
-	reportedAt time.Time // when its last usage report arrived
-	down       bool      // it is no longer listed as a lease holder
-	counted    bool      // its demand is included in peerSums
+	listedAt   time.Time              // when it was last listed as a lease holder
+	reportedAt time.Time              // when its last usage report arrived
+	down       bool                   // it is no longer listed as a lease holder
+	counted    bool                   // its demand is included in peerSums
 }
 
 // updateDemand updates the demand average with the requests that have arrived since the last update.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -19,14 +19,17 @@
 	maxMesh       = 24 // hosts; up to this many, every host is a relay
 	hostsPerRelay = 12 // hosts of a zone for each of its relays
 	minPerZone    = 2  // relays of a zone with more than one host, so that one can be lost
-	electSubject  = "relay"
+	// ampleMbit is the bandwidth, in megabits per second, from which on a host's link does not matter for what it relays.
+	ampleMbit    = 50
+	electSubject = "relay"
 )
 
 // Host is a host of the fleet.
 type Host struct {
-	Name   ident.Host
-	Zone   ident.AvailabilityZone
-	Region ident.Region
+	Name     ident.Host
+	Zone     ident.AvailabilityZone
+	Region   ident.Region
+	LinkMbit float64 // bandwidth of its network link in megabits per second, zero if it is not known
 }
 
 // Plan says how one host takes part in the exchange.
@@ -56,7 +59,8 @@
 	return Plan{Links: names(uplinks), Uplinks: order(self, uplinks)}
 }
 
-// choose returns the relays of all zones: of each zone, the hosts with the highest rendezvous hash.
+// choose returns the relays of all zones: of each zone, the hosts with the most bandwidth, and among those with ample
+// bandwidth the ones with the highest rendezvous hash.
 func choose(hosts []Host) []Host {
 	zones := map[ident.AvailabilityZone][]Host{}
 	for _, h := range hosts {
@@ -65,7 +69,7 @@
 	var relays []Host
 	for _, zone := range zones {
 		slices.SortFunc(zone, func(a, b Host) int {
-			return cmp.Or(cmp.Compare(elect.Score(electSubject, b.Name), elect.Score(electSubject, a.Name)), cmp.Compare(a.Name, b.Name))
+			return cmp.Or(compareLinks(a, b), cmp.Compare(elect.Score(electSubject, b.Name), elect.Score(electSubject, a.Name)), cmp.Compare(a.Name, b.Name))
 		})
 		count := max(minPerZone, (len(zone)+hostsPerRelay-1)/hostsPerRelay)
 		relays = append(relays, zone[:min(len(zone), count)]...)
@@ -73,6 +77,11 @@
 	return relays
 }
 
+// compareLinks orders hosts by bandwidth, the highest first. Ample bandwidths are equal.
+func compareLinks(a, b Host) int {
+	return cmp.Compare(min(b.LinkMbit, ampleMbit), min(a.LinkMbit, ampleMbit))
+}
+
 // order returns the relays in the order in which the host prefers them: those of its own zone first, and among those in an
 // order of its own, so that the hosts of a zone spread over its relays.
 func order(self Host, relays []Host) []ident.Host {
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -43,6 +43,9 @@
 
 // A host's copy of the platform store, or the changes to it.
 type Copy struct {
+	// Time since the sender last knew its copy to be complete, in milliseconds.
+	AgeMs *int `json:"age-ms,omitempty,omitzero" cbor:"age-ms,omitempty"`
+
 	// True when all keys are listed, false when only changes are.
 	Full bool `json:"full" cbor:"full"`
 
@@ -54,6 +57,9 @@
 
 	// Store revision up to which the list is complete.
 	Revision int `json:"revision" cbor:"revision"`
+
+	// Time that the sender waited before it made the list, in milliseconds.
+	WaitedMs *int `json:"waited-ms,omitempty,omitzero" cbor:"waited-ms,omitempty"`
 }
 
 // Configuration changes between two revisions.
@@ -96,6 +102,10 @@
 	// Address that peers dial.
 	LinkAddress string `json:"link-address" cbor:"link-address"`
 
+	// Bandwidth of the host's network link, in megabits per second; zero if it is not
+	// known.
+	LinkMbit *float64 `json:"link-mbit,omitempty,omitzero" cbor:"link-mbit,omitempty"`
+
 	// Region of the host.
 	Region string `json:"region" cbor:"region"`
 }
@@ -105,6 +115,10 @@
 	// True while the host reaches no backend server.
 	CutOff bool `json:"cut-off" cbor:"cut-off"`
 
+	// True while the host has lately known its copy of the platform store to be
+	// complete.
+	Fresh *bool `json:"fresh,omitempty,omitzero" cbor:"fresh,omitempty"`
+
 	// True once the host was told to stop.
 	Leaving bool `json:"leaving" cbor:"leaving"`
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -205,7 +205,7 @@
 	s := n.settings
 	return wire.Edge{
 		AvailabilityZone: s.Zone, Region: s.Region, Incarnation: int(n.startedAt.UnixMilli()),
-		LinkAddress: s.LinkAddress, CallerAddress: s.CallerAddress,
+		LinkAddress: s.LinkAddress, CallerAddress: s.CallerAddress, LinkMbit: &s.LinkMbit,
 	}
 }
 
--- a/io/peer/bytes_test.go
+++ b/io/peer/bytes_test.go
@@ -55,6 +55,31 @@
 	})
 }
 
+// TestRelaysWithTheMostBandwidthAreChosen gives every third host of a zone ample bandwidth: no other one is a relay.
+func TestRelaysWithTheMostBandwidthAreChosen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleetWith(t, 300, func(i int) float64 {
+			if i/zoneCount%3 == 0 {
+				return 120
+			}
+			return 12
+		})
+		time.Sleep(settleTime)
+		before := f.bytes()
+		time.Sleep(2 * time.Second)
+		after := f.bytes()
+		for name, h := range f.hosts {
+			if *h.edge.LinkMbit < 120 {
+				is.True(after[name]-before[name] < 20_000) // its own heartbeats only
+			}
+		}
+		for _, h := range f.hosts {
+			h.cancel()
+		}
+	})
+}
+
 // TestOutcomesReachAllOnce checks that each host hears the outcomes of every other host once, also when relays add them up.
 func TestOutcomesReachAllOnce(t *testing.T) {
 	for _, n := range []int{10, 60, 200} {
--- a/io/peer/fleet_test.go
+++ b/io/peer/fleet_test.go
@@ -58,14 +58,19 @@
 
 // newFleet starts n hosts.
 func newFleet(t *testing.T, n int) *fleet {
+	return newFleetWith(t, n, func(int) float64 { return 0 })
+}
+
+// newFleetWith starts n hosts with links of the given bandwidths in megabits per second.
+func newFleetWith(t *testing.T, n int, linkMbit func(i int) float64) *fleet {
 	f := &fleet{hosts: map[ident.Host]*host{}, entry: map[ident.Host]wire.Edge{}, evidence: func() []wire.Evidence { return nil }}
 	f.resumed = sync.NewCond(&f.mu)
 	for i := range n {
-		zone := i % zoneCount
+		zone, bandwidth := i%zoneCount, linkMbit(i)
 		name := ident.Host(fmt.Sprintf("h%d", i))
 		f.entry[name] = wire.Edge{
 			AvailabilityZone: fmt.Sprintf("z%d", zone), Region: fmt.Sprintf("r%d", zone%regionCount), Incarnation: 1,
-			LinkAddress: string(name), CallerAddress: string(name),
+			LinkAddress: string(name), CallerAddress: string(name), LinkMbit: &bandwidth,
 		}
 	}
 	for name := range f.entry {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -38,6 +38,7 @@
 	Region        ident.Region
 	CallerAddress string // address that callers connect to
 	LinkAddress   string // address that peers connect to
+	linkMbit      float64
 	Heartbeat     wire.EdgeHeartbeat
 	HeartbeatAt   time.Time // when the last heartbeat arrived
 	incarnation   int       // of the process that sent Heartbeat
@@ -49,6 +50,10 @@
 // Fresh reports whether the last heartbeat is at most heartbeatTimeout old.
 func (p Peer) Fresh(now time.Time) bool { return now.Sub(p.HeartbeatAt) <= heartbeatTimeout }
 
+func (p Peer) relayHost() relay.Host {
+	return relay.Host{Name: p.Host, Zone: p.Zone, Region: p.Region, LinkMbit: p.linkMbit}
+}
+
 // active reports whether the last heartbeat is fresh and the peer is not leaving.
 func (p Peer) active(now time.Time) bool { return p.Fresh(now) && !p.Heartbeat.Leaving }
 
--- a/io/peer/refresh.go
+++ b/io/peer/refresh.go
@@ -66,11 +66,11 @@
 // be cut off itself.
 func (p *Peers) candidates(now time.Time) []relay.Host {
 	var list, heard []relay.Host
-	for host, peer := range p.peers {
+	for _, peer := range p.peers {
 		if peer.LinkAddress == "" || peer.Heartbeat.Leaving || !peer.leased && !peer.Fresh(now) {
 			continue
 		}
-		h := relay.Host{Name: host, Zone: peer.Zone, Region: peer.Region}
+		h := peer.relayHost()
 		list = append(list, h)
 		if now.Sub(peer.HeartbeatAt) <= silentRelayTimeout || now.Sub(peer.addedAt) <= silentRelayTimeout {
 			heard = append(heard, h)
@@ -84,7 +84,18 @@
 }
 
 func (p *Peers) self() relay.Host {
-	return relay.Host{Name: p.deps.Host, Zone: ident.AvailabilityZone(p.deps.Self.AvailabilityZone), Region: ident.Region(p.deps.Self.Region)}
+	s := p.deps.Self
+	return relay.Host{
+		Name: p.deps.Host, Zone: ident.AvailabilityZone(s.AvailabilityZone), Region: ident.Region(s.Region), LinkMbit: linkMbit(s),
+	}
+}
+
+// linkMbit returns the bandwidth in a registration, zero if it has none or an odd one.
+func linkMbit(e wire.Edge) float64 {
+	if e.LinkMbit == nil || !(*e.LinkMbit > 0) {
+		return 0
+	}
+	return *e.LinkMbit
 }
 
 func otherHosts(leased map[ident.Host]wire.Edge, self ident.Host) []ident.Host {
@@ -110,5 +121,5 @@
 
 func (p *Peer) update(e wire.Edge) {
 	p.Zone, p.Region = ident.AvailabilityZone(e.AvailabilityZone), ident.Region(e.Region)
-	p.CallerAddress, p.LinkAddress = e.CallerAddress, e.LinkAddress
+	p.CallerAddress, p.LinkAddress, p.linkMbit = e.CallerAddress, e.LinkAddress, linkMbit(e)
 }
--- a/io/setup/edge.go
+++ b/io/setup/edge.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -32,6 +33,7 @@
 	Bounds            string   // limits set by the platform, in its own name=value format
 	MemoryMB          int      // memory that the process may use
 	MaxDescriptors    int      // file descriptors that the process may use
+	LinkMbit          float64  // bandwidth of the network link, zero if it is not known
 	BodyBufferMB      int      // memory for the bodies of large responses
 	LogLevel          slog.Level
 }
@@ -39,6 +41,7 @@
 var (
 	errAddresses = merry.Sentinel("must be IP:port addresses, separated by commas")
 	errRegions   = merry.Sentinel("must be zone=region pairs, separated by commas")
+	errBandwidth = merry.Sentinel("must be a number from 0 to 10000000")
 )
 
 // edgeTable lists all settings of an edge host.
@@ -49,6 +52,7 @@
 	{"host", "memory-mb", "256", "MB", "Memory that the process may use; the collector keeps below it.", countField(func(s *EdgeSettings) *int { return &s.MemoryMB })},
 	{"host", "max-descriptors", "4096", "count", "File descriptors that the process may use; callers' connections leave a part of them to others.", countField(func(s *EdgeSettings) *int { return &s.MaxDescriptors })},
 	{"host", "body-buffer-mb", "24", "MB", "Memory for the bodies of large responses; beyond it they are streamed and not retried.", countField(func(s *EdgeSettings) *int { return &s.BodyBufferMB })},
+	{"host", "link-mbit", "0", "Mbit/s", "Bandwidth of the network link, 0 if it is not known; hosts with the most of it pass messages on.", setLinkMbit},
 	{"listen", "caller", required, "address", "Where callers send requests.", addressField(func(s *EdgeSettings) *string { return &s.CallerAddress })},
 	{"listen", "directory", required, "address", "Where callers ask which hosts to use.", addressField(func(s *EdgeSettings) *string { return &s.DirectoryAddress })},
 	{"listen", "ready", required, "address", "Where the platform asks whether the host takes callers.", addressField(func(s *EdgeSettings) *string { return &s.ReadyAddress })},
@@ -121,6 +125,19 @@
 	return nil
 }
 
+// setLinkMbit parses a bandwidth.
+func setLinkMbit(s *EdgeSettings, value string) error {
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(n >= 0 && n <= maxLinkMbit) {
+		return errBandwidth
+	}
+	s.LinkMbit = n
+	return nil
+}
+
+// maxLinkMbit bounds the bandwidths that are believed, in megabits per second.
+const maxLinkMbit = 1e7
+
 func setEdgeLevel(s *EdgeSettings, value string) error {
 	return merry.Wrap(checkLevel(s.LogLevel.UnmarshalText([]byte(value))))
 }
