--- a/io/peer/copy.go
+++ b/io/peer/copy.go
@@ -14,14 +14,16 @@
 
 	"jayshift/core/ident"
 	"jayshift/core/wire"
+	"jayshift/io/stall"
 )
 
 const (
 	// CopyPath is the URL path at which a host serves copies of the store to peers.
 	CopyPath     = "/v1/copy"
-	copyInterval = 700 * time.Millisecond // between requests for a copy while the store is lost
-	copyTimeout  = 1100 * time.Millisecond
-	maxCopySize  = 64 << 20 // bytes
+	copyInterval = 700 * time.Millisecond  // between requests for a copy while the store is lost
+	copyTimeout  = 1100 * time.Millisecond // until a copy begins, and without any progress after that
+	maxCopyTime  = 8 * time.Second         // of a copy that makes progress
+	maxCopySize  = 64 << 20                // bytes
 )
 
 var copyClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * time.Second}}
@@ -101,8 +103,10 @@
 }
 
 func fetch(ctx context.Context, address string, after ident.Revision, extraQuery string) (wire.Copy, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCopyTime)
 	defer cancel()
+	guard := stall.New(cancel, copyTimeout, copyTimeout)
+	defer guard.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?%s=%d%s", address, CopyPath, afterParam, after, extraQuery), nil)
 	if err != nil {
 		return wire.Copy{}, merry.Wrap(err)
@@ -116,6 +120,6 @@
 		return wire.Copy{}, merry.Errorf("peer returned status %d", response.StatusCode)
 	}
 	var c wire.Copy
-	err = cbor.NewDecoder(io.LimitReader(response.Body, maxCopySize)).Decode(&c)
+	err = cbor.NewDecoder(io.LimitReader(guard.Reader(response.Body), maxCopySize)).Decode(&c)
 	return c, merry.Wrap(err)
 }
