Do not use a copy of the store that is too old while a later one can be had

Cause: a host whose reads fail takes the store for lost and goes on with its copy, without a bound. That is right in an outage and on a host that is cut off; it was also done while the store answered others, and this host's own lease. The age of a copy was counted from its arrival, not from when the store had it.

Such a host answers 503 with Retry-After, as not run, and is not ready. It asks a peer with a fresh copy also when nothing has changed, and renews its lease more often while its copy is late, to learn whether the store can be read.

Weighed: refusing by age alone (a store outage would stop the fleet), by own failed calls (the full relays of the incident could not call at all, but heard their peers), by versions in heartbeats (servers that leave have none).

--- a/cmd/jayshift/edge.go
+++ b/cmd/jayshift/edge.go
@@ -45,7 +45,7 @@
 		Store: platform.NewStore(settings.StoreAddress, settings.StorePollInterval), Protocol: platform.Protocol(),
 		Decode: platform.Decode, Encode: platform.EncodeStatus, Directory: platform.DirectoryHandler, Ready: platform.ReadyHandler,
 		RetryRatio: bounds.RetryRatio, RetrySlack: bounds.RetrySlack, QuotaSlack: bounds.QuotaSlack,
-		GracePeriod: bounds.GracePeriod, DirectoryTTL: bounds.MaxTTL,
+		CopyBound: bounds.CopyBound(), GracePeriod: bounds.GracePeriod, DirectoryTTL: bounds.MaxTTL,
 	}, serve.NewLogger(out, settings.LogLevel))
 	if err != nil {
 		return err
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -80,6 +80,9 @@
 // startAttempt starts an attempt at the best server. It returns a nil reservation with a refusal if no server can take the
 // request now, and without one if the retry budget is exhausted or if the request was forwarded to a peer.
 func (e *Edge) startAttempt(q *request, attempts *attemptSet, results chan<- attemptResult) (*place.Reservation, *place.Refusal) {
+	if e.deps.CopyExpired() {
+		return nil, &place.Refusal{Reason: place.Reason(outcomeCopyExpired), RetryAfter: noConfigurationRetryAfter}
+	}
 	if e.startPeerAttempt(q, attempts, results) {
 		return nil, nil
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -30,11 +30,15 @@
 	Protocol Protocol
 	Log      *slog.Logger
 	Table    func() *table.Table // returns nil while no configuration is known
-	Balancer *place.Balancer
-	Limits   *limit.Limiter
-	Pool     *conns.Pool
-	Rates    *rates.Limiter
-	Poison   *poison.Detector
+	// CopyExpired reports whether what this host knows of configurations and backend servers must not be used, since it is
+	// too old. CopyAge returns its age, for the log.
+	CopyExpired func() bool
+	CopyAge     func() time.Duration
+	Balancer    *place.Balancer
+	Limits      *limit.Limiter
+	Pool        *conns.Pool
+	Rates       *rates.Limiter
+	Poison      *poison.Detector
 	// Host is this host's name. Reach tells whether this host is cut off from all backend servers. Peer then selects the peer
 	// to forward a request to; PeerPool holds the connections to peers.
 	Host     ident.Host
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -118,6 +118,7 @@
 	ended    []roster.Server
 	reach    *reach.Detector
 	strikes  atomic.Int64 // told to peers
+	expired  atomic.Bool  // the copy of the store
 	peers    []edge.Peer  // that requests are forwarded to, in this order
 }
 
@@ -177,7 +178,7 @@
 	}
 	balancer.Update(entries, func(ident.Service) float64 { return 0 })
 	f.edge = edge.New(edge.Deps{
-		Protocol: protocol, Log: slog.New(slog.DiscardHandler), Table: func() *table.Table { return f.table }, Balancer: balancer, Limits: limits,
+		Protocol: protocol, Log: slog.New(slog.DiscardHandler), Table: func() *table.Table { return f.table }, CopyExpired: f.expired.Load, CopyAge: func() time.Duration { return 0 }, Balancer: balancer, Limits: limits,
 		Pool: conns.New(protocol.RequestID, 1<<20), Rates: rates.New(rates.Deps{Self: "a", Quota: f.quota, Counters: func() []ident.Host { return nil }, Now: time.Now}), Poison: poison.New(), RetryRatio: 1, RetrySlack: 100,
 		HostCount: func() int { return 1 }, Version: func(ident.Service) ident.Version { return "" },
 		RecordOutcome:   func(roster.Server, ident.Route, bool, float64) {},
--- a/io/edge/reply.go
+++ b/io/edge/reply.go
@@ -20,6 +20,7 @@
 	outcomeAnswered        Outcome = "answered"
 	outcomeServerFailed    Outcome = "server-failed"
 	outcomeNoConfiguration Outcome = "no-configuration"
+	outcomeCopyExpired     Outcome = "copy-expired" // this host's copy of the store is too old to be used
 	outcomeNoRoute         Outcome = "no-route"
 	outcomeKeyRefused      Outcome = "key-refused"
 	outcomeTeamRate        Outcome = "team-rate"
--- a/io/edge/request.go
+++ b/io/edge/request.go
@@ -81,6 +81,9 @@
 	if q.table == nil {
 		return refusal(outcomeNoConfiguration, http.StatusServiceUnavailable, noConfigurationRetryAfter)
 	}
+	if e.deps.CopyExpired() {
+		return refusal(outcomeCopyExpired, http.StatusServiceUnavailable, noConfigurationRetryAfter)
+	}
 	var ok bool
 	if q.route, ok = q.table.Route(hostName(q.r.Host), q.r.URL.Path); !ok {
 		return finalError(outcomeNoRoute, http.StatusNotFound)
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -122,7 +122,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	return f.store.Watch(ctx, statePrefix, from, func(events []store.Event, _ int64) { f.applyEvents(events) })
+	return f.store.Watch(ctx, statePrefix, from, func(b store.Batch) { f.applyEvents(b.Events) })
 }
 
 // load reads all keys below statePrefix, applies them and returns the store revision of the read. If the store was restored
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -103,7 +103,7 @@
 				{Key: []byte(feed.HeadKey), ModRevision: 5}, {Key: []byte(feed.ResourceKey("team", "t")), Value: old, ModRevision: 5},
 			}, 5, nil
 		},
-		Watch: func(ctx context.Context, _ string, _ int64, _ func([]store.Event, int64)) error {
+		Watch: func(ctx context.Context, _ string, _ int64, _ func(store.Batch)) error {
 			<-ctx.Done()
 			return store.ErrUnavailable
 		},
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -18,14 +18,16 @@
 const directoryTTL = 2 * time.Second
 
 // ready reports whether the host accepts new callers.
-func (n *Node) ready() bool { return n.watch.Loaded() && !n.leaving.Load() }
+func (n *Node) ready() bool { return n.watch.Loaded() && !n.leaving.Load() && !n.copyExpired() }
 
 func (n *Node) heartbeat() wire.EdgeHeartbeat {
 	n.quota.SetCounters(quota.Counters{Hosts: n.peers.ActiveRegions(time.Now()), Counts: n.countsTeam()})
 	now := time.Now()
 	n.updateLimits(now)
 	names, sum := n.quota.TeamNames()
+	fresh := n.watch.Fresh()
 	h := wire.EdgeHeartbeat{
+		Fresh: &fresh,
 		Ready: n.ready(), Leaving: n.leaving.Load(), Reads: !n.watch.StoreLost(), CutOff: n.reach.CutOff(), Revision: int(n.watch.Revision()),
 		Teams: sum, Usage: quota.Encode(names, n.quota.ReportUsage(now)), Limits: n.limitReports(now),
 	}
@@ -147,6 +149,11 @@
 	return address, address != ""
 }
 
+// copyExpired reports whether this host's copy of the store must not be used, since a later one could be had.
+func (n *Node) copyExpired() bool {
+	return n.stale.Expired(time.Now(), n.watch.ConfirmedAt())
+}
+
 // directory returns the addresses that callers in a zone should connect to, and their TTL: the ready hosts of the zone,
 // or of the region if the zone has none, or otherwise of all regions, up to maxDirectoryAddresses.
 func (n *Node) directory(zone ident.AvailabilityZone, region ident.Region) ([]string, time.Duration) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,6 +18,7 @@
 	"jayshift/core/poison"
 	"jayshift/core/quota"
 	"jayshift/core/reach"
+	"jayshift/core/stale"
 	"jayshift/core/wire"
 	"jayshift/io/conns"
 	"jayshift/io/edge"
@@ -57,6 +58,7 @@
 	RetryRatio   float64       // retries per request that all hosts together may send
 	RetrySlack   float64       // retries above RetryRatio that are allowed in a window
 	QuotaSlack   float64       // requests of a team above its rate that are allowed in a window
+	CopyBound    time.Duration // age of a host's copy of the store from which it is not used if a later one can be had
 	GracePeriod  time.Duration // time from the stop signal until the platform kills the process
 	DirectoryTTL time.Duration // maximum time for which callers cache a response of the directory
 }
@@ -74,6 +76,7 @@
 	startedAt    time.Time
 
 	watch    *watch.Watch
+	stale    *stale.Monitor
 	peers    *peer.Peers
 	mesh     *link.Mesh
 	balancer *place.Balancer
@@ -111,6 +114,7 @@
 func (n *Node) buildComponents() {
 	s := n.settings
 	self := ident.Host(s.Name)
+	n.stale = stale.New(n.platform.CopyBound)
 	n.quota = quota.New(quotaIsolationTimeout, quotaTakeoverTimeout, n.platform.QuotaSlack)
 	n.poison = poison.New()
 	n.poison.StrikeLimit = poisonStrikeLimit
@@ -135,6 +139,9 @@
 		OnHeartbeat:    n.recordPeer,
 		OnLeave:        func(host ident.Host) { n.quota.RemovePeer(time.Now(), host) },
 		OnAlive:        func(host ident.Host) { n.quota.RecordPeerAlive(time.Now(), host) },
+		OnStore:        func(sentAt time.Time) { n.stale.RecordStore(time.Now(), sentAt) },
+		OnFreshPeer:    func() { n.stale.RecordPeer(time.Now()) },
+		CopyAge:        n.watch.Age,
 		OnMessage:      n.handleMessage,
 	})
 	n.rolls = roll.New(roll.Deps{
@@ -158,7 +165,7 @@
 
 func (n *Node) newEdge() *edge.Edge {
 	return edge.New(edge.Deps{
-		Protocol: n.platform.Protocol, Log: n.log, Table: n.watch.Table, Balancer: n.balancer, Limits: n.limits, Pool: n.pool, Rates: n.rates,
+		Protocol: n.platform.Protocol, Log: n.log, Table: n.watch.Table, CopyExpired: n.copyExpired, CopyAge: n.watch.Age, Balancer: n.balancer, Limits: n.limits, Pool: n.pool, Rates: n.rates,
 		Poison: n.poison, RetryRatio: n.platform.RetryRatio, RetrySlack: n.platform.RetrySlack, HostCount: n.hostCount,
 		Version: n.rolls.Version, RecordOutcome: n.recordOutcome, BroadcastStrike: n.broadcastStrike,
 		MarkEnded: n.watch.MarkEnded, Host: ident.Host(n.settings.Name), Reach: n.reach, Peer: n.forwardingPeer,
--- a/io/peer/copy.go
+++ b/io/peer/copy.go
@@ -29,20 +29,16 @@
 var copyClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * time.Second}}
 
 // ServeCopy sends a peer the keys of the store that have changed after the revision in afterParam, or all keys. With
-// readParam, for a peer that reads the store through this host, it fails with status 503 unless this host reads the store
-// and its copy is recent. Without readParam, for a peer that has lost the store, it sends the copy that this host has,
+// readParam, for a peer that reads the store through this host, it fails with status 503 unless this host's copy is fresh.
+// Without readParam, for a peer that has lost the store, it sends the copy that this host has,
 // and fails with the same status only if that copy is not complete.
 func (p *Peers) ServeCopy(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.URL.Query().Get(afterParam), 10, 64)
 	if err != nil {
 		after = 0
 	}
-	if r.URL.Query().Has(readParam) && !p.deps.Watch.StoreFresh() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	c, ok := p.deps.Watch.Copy(r.Context(), ident.Revision(after))
-	if !ok || r.URL.Query().Has(readParam) && !p.deps.Watch.StoreFresh() {
+	if !ok || r.URL.Query().Has(readParam) && !p.deps.Watch.Fresh() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -55,7 +51,7 @@
 // Query parameters of a request for a copy.
 const (
 	afterParam = "after" // store revision up to which the peer's copy is complete
-	readParam  = "read"  // set if the serving host must be reading the store itself
+	readParam  = "read"  // set if the serving host's copy must be fresh
 )
 
 // Fetch gets the changes after the revision from the host that reads the store for this host.
@@ -63,7 +59,8 @@
 	return fetch(ctx, address, after, "&"+readParam+"=1")
 }
 
-// fetchMissing copies the store from a peer while this host cannot read the store.
+// fetchMissing copies the store from a peer while this host cannot read the store. It asks a peer whose copy is fresh even if
+// nothing has changed: only that shows that this host's copy is still current.
 func (p *Peers) fetchMissing(ctx context.Context) {
 	if !p.deps.StoreLost() {
 		return
@@ -72,23 +69,40 @@
 	if !ok {
 		return
 	}
+	requestedAt := time.Now()
 	c, err := fetch(ctx, address, p.deps.Watch.Revision(), "")
 	if err != nil {
 		p.deps.Log.Warn("no copy from peer", "address", address, "error", err.Error())
 		return
 	}
-	p.deps.Watch.ApplyCopy(c)
+	p.deps.Watch.ApplyCopy(c, requestedAt)
 }
 
-// copySource returns the link address of a random peer with a fresh heartbeat and a later store revision than this host.
-// If there is none and this host has not loaded the store yet, it selects among the seeds and all known peers.
+// copySource returns the link address of a random peer whose copy is fresh, of this host's region if there is one. If there
+// is none, it selects a peer with a later store revision than this host, and if this host has not loaded the store yet, among
+// the seeds and all known peers.
 func (p *Peers) copySource(now time.Time) (string, bool) {
-	var addresses []string
+	var addresses, near, later []string
 	revision := int(p.deps.Watch.Revision())
 	for _, peer := range p.List() {
-		if peer.Fresh(now) && peer.Heartbeat.Revision > revision {
+		if !peer.Fresh(now) {
+			continue
+		}
+		if peer.hasFreshCopy() {
 			addresses = append(addresses, peer.LinkAddress)
+			if peer.Region == ident.Region(p.deps.Self.Region) {
+				near = append(near, peer.LinkAddress)
+			}
 		}
+		if peer.Heartbeat.Revision > revision {
+			later = append(later, peer.LinkAddress)
+		}
+	}
+	if len(near) > 0 {
+		addresses = near
+	}
+	if len(addresses) == 0 {
+		addresses = later
 	}
 	if len(addresses) == 0 && !p.deps.Watch.Loaded() {
 		addresses = append(addresses, p.deps.Seeds...)
--- a/io/peer/heartbeat.go
+++ b/io/peer/heartbeat.go
@@ -90,6 +90,9 @@
 		p.deps.OnLeave(host)
 		return true
 	}
+	if h.Fresh != nil && *h.Fresh {
+		p.deps.OnFreshPeer()
+	}
 	p.deps.OnHeartbeat(host, h)
 	return true
 }
@@ -110,10 +113,15 @@
 	host := p.hostsByID[id]
 	peer := p.peers[host]
 	known := peer != nil && !peer.HeartbeatAt.IsZero() && !peer.Heartbeat.Leaving
+	fresh := false
 	if known {
 		peer.HeartbeatAt = now
+		fresh = peer.hasFreshCopy()
 	}
 	p.mu.Unlock()
+	if fresh {
+		p.deps.OnFreshPeer()
+	}
 	if known {
 		p.deps.OnAlive(host)
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -23,8 +23,12 @@
 )
 
 const (
-	leaseSeconds           = 3
-	renewalInterval        = 1 * time.Second
+	leaseSeconds    = 3
+	renewalInterval = 1 * time.Second
+	// A host whose copy of the store is older than lateCopyAge renews its lease each lateInterval, to learn whether the store
+	// could be read.
+	lateCopyAge            = 1500 * time.Millisecond
+	lateInterval           = 300 * time.Millisecond
 	registrationRetryDelay = 300 * time.Millisecond  // after a failure to register the host or to renew its lease
 	heartbeatTimeout       = 1800 * time.Millisecond // age of the last heartbeat after which a peer is not active
 	peerRetention          = 10 * time.Second        // how long a peer without a lease and heartbeats stays known
@@ -54,6 +58,9 @@
 	return relay.Host{Name: p.Host, Zone: p.Zone, Region: p.Region, LinkMbit: p.linkMbit}
 }
 
+// hasFreshCopy reports whether the peer has lately known its copy of the store to be complete, by its last heartbeat.
+func (p Peer) hasFreshCopy() bool { return p.Heartbeat.Fresh != nil && *p.Heartbeat.Fresh }
+
 // active reports whether the last heartbeat is fresh and the peer is not leaving.
 func (p Peer) active(now time.Time) bool { return p.Fresh(now) && !p.Heartbeat.Leaving }
 
@@ -85,6 +92,12 @@
 	OnLeave        func(ident.Host)
 	// OnAlive is called when a peer's heartbeat has arrived unchanged.
 	OnAlive func(ident.Host)
+	// OnStore is called with the time at which a call was sent that the store has answered, OnFreshPeer when a heartbeat
+	// arrives which says that the peer's copy is fresh.
+	OnStore     func(sentAt time.Time)
+	OnFreshPeer func()
+	// CopyAge returns the time since this host's copy of the store was last confirmed.
+	CopyAge func() time.Duration
 	// OnMessage is called with the outcomes, faults and strikes that another host has sent to all hosts.
 	OnMessage func(wire.Relayed)
 }
@@ -121,6 +134,9 @@
 	go p.runEvery(ctx, copyInterval, p.fetchMissing)
 	for ctx.Err() == nil && !p.leaving.Load() {
 		delay := renewalInterval
+		if p.deps.CopyAge() > lateCopyAge {
+			delay = lateInterval
+		}
 		if err := p.renewLease(ctx); err != nil {
 			delay = registrationRetryDelay
 		}
@@ -140,17 +156,23 @@
 // renewLease renews the host's lease. If there is none or it has expired, it registers the host under a new lease.
 func (p *Peers) renewLease(ctx context.Context) error {
 	if lease := p.lease.Load(); lease != 0 {
+		sentAt := time.Now()
 		err := p.deps.Store.KeepAlive(ctx, lease)
+		if err == nil {
+			p.deps.OnStore(sentAt)
+		}
 		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
 		p.deps.Log.Warn("lease lapsed", "lease", lease)
 		p.lease.Store(0)
 	}
+	sentAt := time.Now()
 	lease, err := p.deps.Store.Grant(ctx, leaseSeconds)
 	if err != nil {
 		return err
 	}
+	p.deps.OnStore(sentAt)
 	value, err := json.Marshal(p.deps.Self)
 	if err != nil {
 		return merry.Wrap(err)
--- a/io/roll/roll_test.go
+++ b/io/roll/roll_test.go
@@ -95,7 +95,7 @@
 	f.revision++
 	f.keys[key] = store.KV{Key: []byte(key), Value: []byte(value), ModRevision: f.revision}
 	for _, w := range f.watches {
-		w.ApplyCopy(wire.Copy{Revision: int(f.revision), Items: []wire.Item{{Key: key, Value: value, Revision: int(f.revision)}}})
+		w.ApplyCopy(wire.Copy{Revision: int(f.revision), Items: []wire.Item{{Key: key, Value: value, Revision: int(f.revision)}}}, f.now)
 	}
 }
 
@@ -221,7 +221,7 @@
 	}
 	f.revision = int64(c.Revision)
 	for _, w := range f.watches {
-		w.ApplyCopy(c)
+		w.ApplyCopy(c, f.now)
 	}
 }
 
--- a/io/store/counter.go
+++ b/io/store/counter.go
@@ -33,10 +33,10 @@
 			count("txn", resultOf(err))
 			return revision, kvs, err
 		},
-		Watch: func(ctx context.Context, prefix string, startRevision int64, handle func([]Event, int64)) error {
-			err := s.Watch(ctx, prefix, startRevision, func(events []Event, revision int64) {
+		Watch: func(ctx context.Context, prefix string, startRevision int64, handle func(Batch)) error {
+			err := s.Watch(ctx, prefix, startRevision, func(b Batch) {
 				count("watch", OK)
-				handle(events, revision)
+				handle(b)
 			})
 			count("watch", resultOf(err))
 			return err
--- a/io/store/counter_test.go
+++ b/io/store/counter_test.go
@@ -33,7 +33,7 @@
 				Txn: func(context.Context, []store.Compare, []store.Write, []string) (int64, []store.KV, error) {
 					return 1, nil, c.err
 				},
-				Watch: func(context.Context, string, int64, func([]store.Event, int64)) error { return c.err },
+				Watch: func(context.Context, string, int64, func(store.Batch)) error { return c.err },
 			}
 			s := store.WithCallCounter(inner, func(call string, result store.Result) { counted[call] = result })
 			ctx := context.Background()
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -60,6 +60,14 @@
 	Deleted        bool
 }
 
+// Batch is what a watch has received at once.
+type Batch struct {
+	Events   []Event
+	Revision int64 // up to which the events are complete
+	// AsOf is a time at which the store had nothing later than Revision, zero if that is not known.
+	AsOf time.Time
+}
+
 // Store calls the platform's store. Tests and other store implementations replace the function fields. All revisions that
 // it takes and returns hold the era of the store, see ident.Revision.
 type Store struct {
@@ -68,10 +76,9 @@
 	// Txn applies all writes atomically if all compares hold, else it returns ErrConflict. It also returns the revision
 	// and, in either case, the keys in reads that exist, with their values.
 	Txn func(ctx context.Context, compares []Compare, writes []Write, reads []string) (int64, []KV, error)
-	// Watch calls handle for each batch of events, with the revision up to which the events are complete. It starts with
-	// the events at startRevision in a store that New returns, and with those after it in one of package platform. It
-	// returns an error when the context ends or the watch fails.
-	Watch func(ctx context.Context, prefix string, startRevision int64, handle func([]Event, int64)) error
+	// Watch calls handle for each batch of events. It starts with the events at startRevision in a store that New returns,
+	// and with those after it in one of package platform. It returns an error when the context ends or the watch fails.
+	Watch func(ctx context.Context, prefix string, startRevision int64, handle func(Batch)) error
 	// Grant creates a lease with a TTL in seconds and returns its id.
 	Grant func(ctx context.Context, seconds int64) (int64, error)
 	// KeepAlive extends a lease. It returns ErrConflict if the lease has expired.
@@ -231,7 +238,7 @@
 	return err
 }
 
-func (g *gateway) watch(ctx context.Context, prefix string, startRevision int64, handle func([]Event, int64)) error {
+func (g *gateway) watch(ctx context.Context, prefix string, startRevision int64, handle func(Batch)) error {
 	if err := g.eras.Follows(ident.Revision(startRevision)); err != nil {
 		return err
 	}
@@ -264,7 +271,7 @@
 }
 
 // readWatch reads the messages of a watch that was opened in the given era.
-func readWatch(stream io.Reader, era ident.Era, handle func([]Event, int64), onMessage func()) error {
+func readWatch(stream io.Reader, era ident.Era, handle func(Batch), onMessage func()) error {
 	decoder := json.NewDecoder(stream)
 	for {
 		var message watchResponse
@@ -279,7 +286,7 @@
 			return ErrUnavailable
 		}
 		if len(message.Result.Events) > 0 {
-			handle(toEvents(era, message.Result.Events), revision(era, message.Result.Header.Revision))
+			handle(Batch{Events: toEvents(era, message.Result.Events), Revision: revision(era, message.Result.Header.Revision)})
 		}
 	}
 }
--- a/io/watch/apply.go
+++ b/io/watch/apply.go
@@ -1,14 +1,16 @@
 package watch
 
 import (
+	"time"
+
 	"jayshift/core/ident"
 	"jayshift/core/table"
 	"jayshift/io/panics"
 )
 
-// replaceAll applies a full list of the store's keys at the given revision. If that is in a later era than the copy, the copy
-// continues in that era.
-func (w *Watch) replaceAll(items []Item, revision ident.Revision) {
+// replaceAll applies a full list of the store's keys at the given revision, which the store had at the time asOf. If that is
+// in a later era than the copy, the copy continues in that era.
+func (w *Watch) replaceAll(items []Item, revision ident.Revision, asOf time.Time) {
 	w.mu.Lock()
 	if w.revision != 0 && revision.Era() > w.revision.Era() {
 		items = w.beginEra(items, revision)
@@ -20,7 +22,7 @@
 	}
 	w.loaded, w.incomplete = true, false
 	w.mu.Unlock()
-	w.applyItems(items, revision)
+	w.applyItems(items, revision, asOf)
 }
 
 // addDeletions adds deletions of the known keys that are missing from a full list at the given revision, unless they were
@@ -39,15 +41,21 @@
 }
 
 // applyItems applies changes in the given order and calls OnChange if any of them is relevant. The copy is complete up to
-// the given revision afterwards.
-func (w *Watch) applyItems(items []Item, revision ident.Revision) {
+// the given revision afterwards, beyond which the store had nothing at the time asOf, zero if that is not known.
+func (w *Watch) applyItems(items []Item, revision ident.Revision, asOf time.Time) {
 	w.mu.Lock()
 	changed := false
 	for _, i := range items {
 		changed = w.applyItem(i) || changed
 	}
 	w.revision = max(w.revision, revision)
-	w.confirmedAt = w.deps.Now()
+	confirmed := asOf.After(w.confirmedAt)
+	if confirmed {
+		w.confirmedAt = asOf
+	}
+	if changed || confirmed {
+		w.wakePeers()
+	}
 	w.mu.Unlock()
 	if changed {
 		w.deps.OnChange()
--- a/io/watch/copy.go
+++ b/io/watch/copy.go
@@ -6,13 +6,13 @@
 	"unicode/utf8"
 
 	"jayshift/core/ident"
+	"jayshift/core/stale"
 	"jayshift/core/wire"
 )
 
 const (
-	maxDeletions    = 512                     // number of deletions that are recorded for peers
-	maxStoreSilence = 1200 * time.Millisecond // maximum age of a copy for a host that reads the store for peers
-	maxCopyWait     = 700 * time.Millisecond  // how long a peer's request waits for a change
+	maxDeletions = 512                    // number of deletions that are recorded for peers
+	maxCopyWait  = 700 * time.Millisecond // how long a peer's request waits for a change or a confirmation
 )
 
 // storedItem is an item with the revision of its last relevant change. A registration that differs only in its Seq is not
@@ -22,13 +22,14 @@
 	contentRevision ident.Revision
 }
 
-// storeItem stores an item or records its deletion, and wakes waiting calls of Copy after a relevant change. The caller
-// holds mu.
+// wakePeers wakes waiting calls of Copy. The caller holds mu.
+func (w *Watch) wakePeers() {
+	close(w.changeCh)
+	w.changeCh = make(chan struct{})
+}
+
+// storeItem stores an item or records its deletion. The caller holds mu.
 func (w *Watch) storeItem(i Item, known storedItem, changed bool) {
-	if changed {
-		close(w.changeCh)
-		w.changeCh = make(chan struct{})
-	}
 	if !i.Deleted {
 		next := storedItem{Item: i, contentRevision: known.contentRevision}
 		if changed || next.contentRevision == 0 {
@@ -46,9 +47,10 @@
 }
 
 // Copy returns the relevant changes of the store after the given revision, or all keys if after is 0 or the deletions
-// since then are no longer recorded. Unless after is 0, it waits up to maxCopyWait for a change. ok is false while this
-// host has no complete copy, or one of an earlier era of the store than after.
+// since then are no longer recorded. Unless after is 0, it waits up to maxCopyWait until there is a change or this host's copy
+// was confirmed again. ok is false while this host has no complete copy, or one of an earlier era of the store than after.
 func (w *Watch) Copy(ctx context.Context, after ident.Revision) (c wire.Copy, ok bool) {
+	requestedAt := w.deps.Now()
 	w.mu.Lock()
 	changeCh, wait := w.changeCh, after > 0 && !w.hasChangesAfter(after)
 	w.mu.Unlock()
@@ -63,15 +65,26 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.changesAfter(after), w.loaded && w.revision.Era() >= after.Era()
+	now := w.deps.Now()
+	c = w.changesAfter(after)
+	c.AgeMs, c.WaitedMs = milliseconds(now.Sub(w.confirmedAt)), milliseconds(now.Sub(requestedAt))
+	return c, w.loaded && w.revision.Era() >= after.Era()
+}
+
+func milliseconds(d time.Duration) *int {
+	ms := int(min(d, maxCopyAge).Milliseconds())
+	return &ms
 }
 
-// StoreFresh reports whether the last call to the store succeeded and this host's copy was confirmed as current within
-// maxStoreSilence.
-func (w *Watch) StoreFresh() bool {
+// maxCopyAge is the largest age that is told to peers.
+const maxCopyAge = 24 * time.Hour
+
+// Fresh reports whether this host's copy may be passed on to peers as current: the last call to the store did not fail, and
+// the copy was confirmed within stale.MaxFreshAge.
+func (w *Watch) Fresh() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.storeLost && w.deps.Now().Sub(w.confirmedAt) <= maxStoreSilence
+	return w.loaded && !w.storeLost && w.deps.Now().Sub(w.confirmedAt) <= stale.MaxFreshAge
 }
 
 // hasChangesAfter reports whether there is a relevant change after the revision. The caller holds mu.
@@ -123,10 +136,10 @@
 	return storedItem{Item: lost, contentRevision: lost.Revision}, !lost.Deleted
 }
 
-// ApplyCopy applies a peer's copy of the store or its changes, unless this host's copy is at a later revision or of a later
-// era. Changes alone cannot continue a copy of an earlier era. If the peer has recently regained the store, removals of
-// servers are delayed here too.
-func (w *Watch) ApplyCopy(c wire.Copy) {
+// ApplyCopy applies a peer's copy of the store or its changes, which was requested at the given time, unless this host's copy
+// is at a later revision or of a later era. Changes alone cannot continue a copy of an earlier era. If the peer has recently
+// regained the store, removals of servers are delayed here too.
+func (w *Watch) ApplyCopy(c wire.Copy, requestedAt time.Time) {
 	revision := ident.Revision(c.Revision)
 	if c.Regained {
 		w.roster.StoreRecovered(w.deps.Now())
@@ -140,8 +153,19 @@
 	}
 	if c.Full {
 		w.deps.Log.Info("took a peer's copy of the store", "revision", c.Revision, "items", len(items))
-		w.replaceAll(items, revision)
+		w.replaceAll(items, revision, asOf(c, requestedAt))
 		return
 	}
-	w.applyItems(items, revision)
+	w.applyItems(items, revision, asOf(c, requestedAt))
+}
+
+// asOf returns a time at which the store had nothing later than a peer's copy. The copy was made no earlier than the peer
+// has waited after the request, however long it was on its way. Peers of earlier builds state no age; they read the store
+// or refuse.
+func asOf(c wire.Copy, requestedAt time.Time) time.Time {
+	if c.AgeMs == nil || c.WaitedMs == nil {
+		return requestedAt
+	}
+	waited, age := time.Duration(*c.WaitedMs)*time.Millisecond, time.Duration(*c.AgeMs)*time.Millisecond
+	return requestedAt.Add(min(max(waited, 0), maxCopyWait) - max(age, 0))
 }
--- a/io/watch/query.go
+++ b/io/watch/query.go
@@ -98,6 +98,14 @@
 	return w.loaded && w.table != nil
 }
 
+// ConfirmedAt returns the latest time at which the store is known to have had nothing that this host's copy lacks, zero if
+// there is no copy.
+func (w *Watch) ConfirmedAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.confirmedAt
+}
+
 // Age returns the time since the copy was last confirmed as complete, or 0 if it never was.
 func (w *Watch) Age() time.Duration {
 	w.mu.Lock()
--- a/io/watch/reader_test.go
+++ b/io/watch/reader_test.go
@@ -48,12 +48,12 @@
 		Range: func(context.Context, string) ([]store.KV, int64, error) {
 			return []store.KV{kv("config", "1", 1)}, 1, nil
 		},
-		Watch: func(ctx context.Context, _ string, _ int64, handle func([]store.Event, int64)) error {
+		Watch: func(ctx context.Context, _ string, _ int64, handle func(store.Batch)) error {
 			r.mu.Lock()
 			r.watched++
 			r.mu.Unlock()
 			time.Sleep(10 * time.Millisecond)
-			handle(nil, 1)
+			handle(store.Batch{Revision: 1, AsOf: time.Now()})
 			return ctx.Err()
 		},
 	}
--- a/io/watch/restore.go
+++ b/io/watch/restore.go
@@ -79,7 +79,7 @@
 	for _, i := range lost {
 		w.deps.Log.Warn("key not written again after the restore of the store", "key", i.Key, "deleted", i.Deleted, "revision", int64(i.Revision))
 	}
-	w.applyItems(lost, revision)
+	w.applyItems(lost, revision, time.Time{})
 	return len(lost) > 0
 }
 
--- a/io/watch/restore_test.go
+++ b/io/watch/restore_test.go
@@ -116,7 +116,7 @@
 			c.Items = append(c.Items, i)
 		}
 	}
-	host.ApplyCopy(c)
+	host.ApplyCopy(c, d.now)
 }
 
 // step makes one random write, perhaps a drill, and lets the hosts read the store or each other.
@@ -158,7 +158,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	if c, ok := peer.Copy(ctx, d.hosts[i].Revision()); ok {
-		d.hosts[i].ApplyCopy(c)
+		d.hosts[i].ApplyCopy(c, d.now)
 	}
 }
 
@@ -296,7 +296,7 @@
 	d.read(d.hosts[1])
 	c, ok := d.hosts[1].Copy(context.Background(), d.hosts[0].Revision())
 	is.True(ok)
-	d.hosts[0].ApplyCopy(c)
+	d.hosts[0].ApplyCopy(c, d.now)
 	is.Equal(serverIDs(d.hosts[0]), "")
 	is.Equal(d.hosts[0].Table().Version, table.Version(2))
 }
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -58,12 +58,12 @@
 	items             map[string]storedItem
 	deletions         []Item          // the latest ones, at most maxDeletions
 	droppedDeletions  ident.Revision  // deletions up to this revision are no longer recorded
-	changeCh          chan struct{}   // closed at the next relevant change
+	changeCh          chan struct{}   // closed at the next relevant change or confirmation
 	failedReader      string          // address of the reader peer that failed last
 	failedUntil       time.Time       // time until which failedReader is not used
 	directReadUntil   time.Time       // time until which this host reads the store itself after two reader peers failed
 	revision          ident.Revision  // revision up to which items are complete
-	confirmedAt       time.Time       // when the store or a peer's copy last confirmed revision
+	confirmedAt       time.Time       // latest time at which the store is known to have had nothing beyond revision
 	loaded            bool            // the copy was complete once
 	incomplete        bool            // the store does not continue the history that was read, so that a full read is needed
 	lost              map[string]Item // what the store holds in place of values that it lost in a restore, by key
@@ -148,9 +148,10 @@
 // readPeer fetches and applies the changes from the reader peer. If the peer fails, another one is used for
 // directReadTime; if that fails too, this host reads the store itself.
 func (w *Watch) readPeer(ctx context.Context, address string) {
+	requestedAt := w.deps.Now()
 	c, err := w.deps.FetchCopy(ctx, address, w.Revision())
 	if err == nil {
-		w.ApplyCopy(c)
+		w.ApplyCopy(c, requestedAt)
 		return
 	}
 	w.mu.Lock()
@@ -167,6 +168,7 @@
 // read the store for this host or ctx ends.
 func (w *Watch) watchStore(ctx context.Context) error {
 	if w.needsFullRead() {
+		asOf := w.deps.Now()
 		kvs, revision, err := w.deps.Store.Range(ctx, allKeys)
 		if err != nil {
 			return err
@@ -176,7 +178,7 @@
 			items[i] = itemFromKV(kv)
 		}
 		w.markStoreRegained()
-		w.replaceAll(items, ident.Revision(revision))
+		w.replaceAll(items, ident.Revision(revision), asOf)
 	}
 	if _, ok := w.peerReader(); ok {
 		return errPeerReads
@@ -184,13 +186,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peerReads := false
-	err := w.deps.Store.Watch(ctx, allKeys, int64(w.Revision()), func(events []store.Event, revision int64) {
-		items := make([]Item, len(events))
-		for i, e := range events {
+	err := w.deps.Store.Watch(ctx, allKeys, int64(w.Revision()), func(b store.Batch) {
+		items := make([]Item, len(b.Events))
+		for i, e := range b.Events {
 			items[i] = itemFromEvent(e)
 		}
 		w.markStoreRegained()
-		w.applyItems(items, ident.Revision(revision))
+		w.applyItems(items, ident.Revision(b.Revision), b.AsOf)
 		if _, peerReads = w.peerReader(); peerReads {
 			cancel()
 		}
--- a/io/watch/watch_test.go
+++ b/io/watch/watch_test.go
@@ -44,14 +44,14 @@
 			s.fullReads++
 			return s.kvs, s.revision, nil
 		},
-		Watch: func(ctx context.Context, _ string, _ int64, handle func([]store.Event, int64)) error {
+		Watch: func(ctx context.Context, _ string, _ int64, handle func(store.Batch)) error {
 			for {
 				select {
 				case st := <-s.steps:
 					if st.err != nil {
 						return st.err
 					}
-					handle(st.events, st.revision)
+					handle(store.Batch{Events: st.events, Revision: st.revision, AsOf: time.Now()})
 				case <-ctx.Done():
 					return ctx.Err()
 				}
@@ -149,7 +149,7 @@
 	eventually(t, "version 9", func() bool { return w.Table().Version == 9 })
 	s.steps <- step{events: []store.Event{put("config", "8", 13)}, revision: 13}
 	s.steps <- step{events: []store.Event{put("config", "7", 11)}, revision: 13}
-	w.ApplyCopy(wire.Copy{Full: true, Revision: 20, Items: []wire.Item{{Key: "config", Value: "8", Revision: 19}}})
+	w.ApplyCopy(wire.Copy{Full: true, Revision: 20, Items: []wire.Item{{Key: "config", Value: "8", Revision: 19}}}, time.Now())
 	s.set(21, kv("config", "6", 21))
 	s.steps <- step{err: store.ErrCompacted}
 	eventually(t, "a second read", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.fullReads == 2 })
@@ -218,7 +218,7 @@
 	c, ok := reader.Copy(context.Background(), 0)
 	is.True(ok)
 	is.True(c.Full)
-	follower.ApplyCopy(c)
+	follower.ApplyCopy(c, time.Now())
 	eventually(t, "two servers", func() bool { return serverIDs(follower) == "a b" })
 	s.steps <- step{events: []store.Event{put("server/a", "2", 11)}, revision: 11} // a registration with a new Seq only
 	s.steps <- step{events: []store.Event{{Key: "server/b", Revision: 12, Deleted: true}}, revision: 12}
@@ -226,7 +226,7 @@
 	c, _ = reader.Copy(context.Background(), 10)
 	is.True(!c.Full)
 	is.Equal(len(c.Items), 1) // only the deletion
-	follower.ApplyCopy(c)
+	follower.ApplyCopy(c, time.Now())
 	is.Equal(serverIDs(follower), "a")
 	is.Equal(follower.Revision(), ident.Revision(12))
 }
@@ -243,7 +243,7 @@
 			return watch.Change{EvacuatedZone: "z"}, nil
 		},
 	})
-	w.ApplyCopy(wire.Copy{Full: true, Revision: 2, Items: []wire.Item{{Key: "bad", Revision: 1}, {Key: "good", Revision: 2}}})
+	w.ApplyCopy(wire.Copy{Full: true, Revision: 2, Items: []wire.Item{{Key: "bad", Revision: 1}, {Key: "good", Revision: 2}}}, time.Now())
 	is.Equal(w.Revision(), ident.Revision(2))
 	c, ok := w.Copy(context.Background(), 0)
 	is.True(ok)
