Copy the store through the relays, so that no host serves its whole region

With 250 servers that leave and 300 hosts of 12 Mbit/s, hosts gave their reader up and turned to the store.

Change: of the relays of a region one reads the store, chosen by bandwidth and then by name; the other relays take its copy, all other hosts that of a relay, the one that they send to first.

--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -133,20 +133,18 @@
 	return true
 }
 
-// storeReader returns the link address of the host that reads the store for this host's region: the first by name of
-// those that can read it. It returns false if this host reads the store itself or has lost it.
-// The failed address, if not empty, is left out.
-func (n *Node) storeReader(failed string) (string, bool) {
+// copySource returns the link address of the host whose copy of the store this host takes. It returns false if this host
+// reads the store itself or has lost it. The failed address, if not empty, is left out.
+func (n *Node) copySource(failed string) (string, bool) {
 	if n.watch.StoreLost() {
 		return "", false
 	}
-	best, address := ident.Host(n.settings.Name), ""
-	for _, p := range n.peers.Active(time.Now()) {
-		if string(p.Region) == n.settings.Region && p.Heartbeat.Reads && p.Host < best && p.LinkAddress != failed {
-			best, address = p.Host, p.LinkAddress
+	for _, address := range n.peers.CopySources(time.Now()) {
+		if address != failed {
+			return address, true
 		}
 	}
-	return address, address != ""
+	return "", false
 }
 
 // copyExpired reports whether this host's copy of the store must not be used, since a later one could be had.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -123,7 +123,7 @@
 	n.pool = conns.New(n.platform.Protocol.RequestID, int64(s.BodyBufferMB)*megabyte)
 	n.watch = watch.New(watch.Deps{
 		Store: n.platform.Store, Decode: n.platform.Decode, RegionByZone: s.Regions, Log: n.log, Now: time.Now,
-		OnChange: n.applyStoreChange, PeerReader: n.storeReader, FetchCopy: peer.Fetch,
+		OnChange: n.applyStoreChange, PeerReader: n.copySource, FetchCopy: peer.Fetch,
 	})
 	n.mesh = link.New(link.Deps{
 		Hello: n.hello, Handle: n.handleFrame, Scheme: "ws", Log: n.log,
--- a/io/peer/fleet_test.go
+++ b/io/peer/fleet_test.go
@@ -98,7 +98,7 @@
 		SetLinks: h.setLinks, Linked: h.linked,
 		Send:      func(to ident.Host, m wire.Frame) error { return h.send(to, m, true) },
 		Reply:     func(to ident.Host, m wire.Frame) error { return h.send(to, m, false) },
-		Heartbeat: func() wire.EdgeHeartbeat { return wire.EdgeHeartbeat{Ready: true} },
+		Heartbeat: func() wire.EdgeHeartbeat { return wire.EdgeHeartbeat{Ready: true, Reads: true} },
 		Evidence: func() []wire.Evidence {
 			f.mu.Lock()
 			defer f.mu.Unlock()
