Look at the server and the copy once more right before a request is sent

A server that had left, or a copy that had expired meanwhile, was used all the same.

Change: the pool asks once the connection is open; the request counts as not sent and is tried elsewhere. The route and the key are looked up when the request is read and the bound counts from the caller's sending, so they stay.

--- a/core/place/reservation.go
+++ b/core/place/reservation.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"jayshift/core/ident"
@@ -62,6 +63,13 @@
 	}
 }
 
+// Usable reports whether the server may still be used: since the reservation was made it may have left or ended.
+func (r *Reservation) Usable() bool {
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	return !r.server.Draining && !r.server.misdirected && slices.Contains(r.pool.servers, r.server)
+}
+
 // ServerAnswered reports whether the server has answered any request since this one was sent.
 func (r *Reservation) ServerAnswered() bool {
 	r.pool.mu.Lock()
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -27,6 +27,8 @@
 	ErrNotSent = merry.Sentinel("conns: request not sent")
 	// ErrCallerLeft means that Request.CallerLeft reported so before a byte of the request was sent.
 	ErrCallerLeft = merry.Sentinel("conns: caller left, request not sent")
+	// ErrOutdated means that Request.Outdated reported so before a byte of the request was sent.
+	ErrOutdated = merry.Sentinel("conns: request outdated, not sent")
 	// ErrBroken means that the connection broke or that no valid response was received; the server may have run the
 	// request.
 	ErrBroken = merry.Sentinel("conns: connection broken")
@@ -58,6 +60,7 @@
 	ContentLength int64       // of the complete body in bytes, -1 for chunked encoding
 	ID            string      // request id, which the response must carry in Pool.IDHeader
 	CallerLeft    func() bool // asked once a connection is open, right before the request is sent; nil for a caller that stays
+	Outdated      func() bool // asked then too; nil for a request that is always to be sent
 	AvoidStale    bool        // for requests that must not be lost: use no connection idle for longer than maxFreshIdleTime
 }
 
@@ -106,7 +109,7 @@
 
 // Do sends the request to the address and returns its response. The deadline applies to both dialing and the response.
 // connectTime is the time it took to open a connection, or zero if an idle connection was reused. The error is
-// ErrNotSent, ErrCallerLeft, ErrBroken or ErrTimeout. A request without an id gets a connection of its own, since its response could not
+// ErrNotSent, ErrCallerLeft, ErrOutdated, ErrBroken or ErrTimeout. A request without an id gets a connection of its own, since its response could not
 // be told from a late one to an earlier request.
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (resp *Response, connectTime time.Duration, err error) {
 	var c *conn
@@ -120,14 +123,25 @@
 		}
 		connectTime = time.Since(started)
 	}
-	if r.CallerLeft != nil && r.CallerLeft() {
+	if err := r.mayBeSent(); err != nil {
 		p.putIdle(c)
-		return nil, connectTime, ErrCallerLeft
+		return nil, connectTime, err
 	}
 	resp, err = p.roundTrip(ctx, c, r, deadline)
 	return resp, connectTime, err
 }
 
+// mayBeSent returns why the request is not to be sent, nil if it is.
+func (r *Request) mayBeSent() error {
+	switch {
+	case r.CallerLeft != nil && r.CallerLeft():
+		return ErrCallerLeft
+	case r.Outdated != nil && r.Outdated():
+		return ErrOutdated
+	}
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context, address string, deadline time.Time) (*conn, error) {
 	dialer := net.Dialer{
 		Timeout: dialTimeout, Deadline: deadline,
--- a/io/edge/attempt.go
+++ b/io/edge/attempt.go
@@ -191,7 +191,9 @@
 	expected := max(minSilence, silenceFactor*(reservation.ExpectedWait+reservation.ExpectedRun))
 	silence := time.AfterFunc(expected, func() { e.deps.Reach.RecordSilent(time.Now(), server.ID, sentAt) })
 	defer silence.Stop()
-	response, connectTime, err := e.deps.Pool.Do(ctx, server.Address, q.serverRequest(server.ID, deadline), deadline)
+	request := q.serverRequest(server.ID, deadline)
+	request.Outdated = func() bool { return !reservation.Usable() || e.deps.CopyExpired() }
+	response, connectTime, err := e.deps.Pool.Do(ctx, server.Address, request, deadline)
 	reply, outcome := e.classifyResponse(ctx, q, reservation, response, err)
 	if response != nil && (response.Header.Get(q.protocol.Signature) != "" || outcome.Result == place.Shed) {
 		e.recordLimit(server, sentAt, response.Header.Get(q.protocol.Limit))
@@ -199,7 +201,7 @@
 	outcome.ConnectTime = connectTime
 	e.recordReach(ctx, server.ID, deadline, connectTime, err)
 	sent := 1
-	if errors.Is(err, conns.ErrNotSent) || errors.Is(err, conns.ErrCallerLeft) {
+	if errors.Is(err, conns.ErrNotSent) || errors.Is(err, conns.ErrCallerLeft) || errors.Is(err, conns.ErrOutdated) {
 		sent = 0
 	}
 	return attemptResult{reply: reply, server: server.ID, sent: sent}, outcome
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -119,7 +119,9 @@
 	reach    *reach.Detector
 	strikes  atomic.Int64 // told to peers
 	expired  atomic.Bool  // the copy of the store
-	peers    []edge.Peer  // that requests are forwarded to, in this order
+	// expiresAfter is the number of looks at the copy after which it is expired, 0 for never.
+	expiresAfter, looks atomic.Int64
+	peers               []edge.Peer // that requests are forwarded to, in this order
 }
 
 // peer returns the first peer that was not tried.
@@ -178,7 +180,7 @@
 	}
 	balancer.Update(entries, func(ident.Service) float64 { return 0 })
 	f.edge = edge.New(edge.Deps{
-		Protocol: protocol, Log: slog.New(slog.DiscardHandler), Table: func() *table.Table { return f.table }, CopyExpired: f.expired.Load, CopyAge: func() time.Duration { return 0 }, Balancer: balancer, Limits: limits,
+		Protocol: protocol, Log: slog.New(slog.DiscardHandler), Table: func() *table.Table { return f.table }, CopyExpired: f.copyExpired, CopyAge: func() time.Duration { return 0 }, Balancer: balancer, Limits: limits,
 		Pool: conns.New(protocol.RequestID, 1<<20), Rates: rates.New(rates.Deps{Self: "a", Quota: f.quota, Counters: func() []ident.Host { return nil }, Now: time.Now}), Poison: poison.New(), RetryRatio: 1, RetrySlack: 100,
 		HostCount: func() int { return 1 }, Version: func(ident.Service) ident.Version { return "" },
 		RecordOutcome:   func(roster.Server, ident.Route, bool, float64) {},
@@ -190,6 +192,12 @@
 	return f
 }
 
+// copyExpired counts the looks at the copy of the store.
+func (f *fixture) copyExpired() bool {
+	after, looks := f.expiresAfter.Load(), f.looks.Add(1)
+	return f.expired.Load() || after > 0 && looks > after
+}
+
 func (f *fixture) send(method, path, key, body string) *httpd.Response {
 	return f.sendWith(context.Background(), method, path, key, body)
 }
--- a/io/edge/expired_test.go
+++ b/io/edge/expired_test.go
@@ -22,3 +22,13 @@
 	is.Equal(f.send(http.MethodPost, "/write/1", "k", "").Status, http.StatusOK)
 	is.Equal(f.backends[0].ran(), 2)
 }
+
+// TestRequestIsNotSentFromACopyThatExpiresMeanwhile lets the copy expire between the selection of a server and the sending.
+func TestRequestIsNotSentFromACopyThatExpiresMeanwhile(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, good, good)
+	f.expiresAfter.Store(2) // looks: when the request is read, and when a server is selected
+	reply := f.send(http.MethodPost, "/write/1", "k", "")
+	is.Equal(reply.Status, http.StatusServiceUnavailable)
+	is.Equal(f.backends[0].ran()+f.backends[1].ran(), 0)
+}
--- a/io/edge/outcome.go
+++ b/io/edge/outcome.go
@@ -65,6 +65,8 @@
 	switch {
 	case errors.Is(err, conns.ErrCallerLeft):
 		return failedAttempt(outcomeCallerLeft, notSent), place.Outcome{Result: place.Canceled}
+	case errors.Is(err, conns.ErrOutdated):
+		return failedAttempt(outcomeOutdated, notSent), place.Outcome{Result: place.Canceled}
 	case ctx.Err() != nil:
 		status := mayHaveRun
 		if errors.Is(err, conns.ErrNotSent) {
--- a/io/edge/reply.go
+++ b/io/edge/reply.go
@@ -21,6 +21,7 @@
 	outcomeServerFailed    Outcome = "server-failed"
 	outcomeNoConfiguration Outcome = "no-configuration"
 	outcomeCopyExpired     Outcome = "copy-expired" // this host's copy of the store is too old to be used
+	outcomeOutdated        Outcome = "outdated"     // the selected server left, or the copy expired, before the request was sent
 	outcomeNoRoute         Outcome = "no-route"
 	outcomeKeyRefused      Outcome = "key-refused"
 	outcomeTeamRate        Outcome = "team-rate"
