Do not send a request on a connection that has carried one with its id

Report of other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran. On edge hosts the id in the answer tells such a refusal from the answer to another request, but not from that to a retry of the same id on that connection.

Change: a connection remembers the ids that were sent on it (256, then it is given up), and a request with one of them goes over another connection.

TestEarlierRefusalIsNotTakenForTheAnswer (io/conns; with the same id it got 503 before) and TestRefusalWrittenAgainIsNotPassedOn (io/edge; 'not run' with one run before) hold now. An answer whose head or body ends after any byte is no answer, also before: TestAnswerCutAtEachByteIsNoAnswer, TestAnswerCutAtEachByteIsNotWhole.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -12,12 +12,14 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
 
 	"jayshift/io/socket"
 )
@@ -44,6 +46,7 @@
 	maxIdleTime       = 4 * time.Second // after which a connection is not used again
 	maxFreshIdleTime  = 1 * time.Second // of connections that requests with AvoidStale may use
 	readBufferSize    = 4 << 10
+	maxServed         = 256                   // requests on one connection, whose ids it remembers
 	maxResponseReads  = 4                     // responses read per request, including interim responses and those to other requests
 	deadlineGrace     = 20 * time.Millisecond // added to the request's deadline for the connection's deadline
 	streamGrace       = 2 * time.Second       // added instead once the caller can be sent the start of a streamed body
@@ -104,6 +107,7 @@
 	limit    *io.LimitedReader // below reader; limits the bytes of a response header
 	reader   *bufio.Reader
 	lastUsed time.Time
+	served   []uint64      // hashes of the ids of the requests sent, whose answers the server may write again
 	maxIdle  time.Duration // maximum idle time, at most what the server's Keep-Alive header allows
 }
 
@@ -114,7 +118,7 @@
 func (p *Pool) Do(ctx context.Context, address string, r Request, deadline time.Time) (resp *Response, connectTime time.Duration, err error) {
 	var c *conn
 	if r.ID != "" {
-		c = p.takeIdle(address, r.AvoidStale)
+		c = p.takeIdle(address, r)
 	}
 	if c == nil {
 		started := time.Now()
@@ -157,39 +161,42 @@
 	return c, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection that is still usable, or nil if there is none. It
-// closes the unusable ones that it finds.
-func (p *Pool) takeIdle(address string, avoidStale bool) *conn {
+// takeIdle removes and returns the most recently used idle connection that is still usable for the request, or nil if there
+// is none. It closes the unusable ones that it finds.
+func (p *Pool) takeIdle(address string, r Request) *conn {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, xxhash.Sum64String(r.ID))
 		if c == nil {
 			return nil
 		}
 		idle := time.Since(c.lastUsed)
-		if idle < c.maxIdle && !(avoidStale && idle > maxFreshIdleTime) && socket.IsQuiet(c.Conn) {
+		if idle < c.maxIdle && !(r.AvoidStale && idle > maxFreshIdleTime) && socket.IsQuiet(c.Conn) {
 			return c
 		}
 		_ = c.Close()
 	}
 }
 
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection on which no request with the id was sent: an earlier
+// answer to that one, written again, could not be told from the next.
+func (p *Pool) popIdle(address string, id uint64) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !slices.Contains(c.served, id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) putIdle(c *conn) {
 	c.lastUsed = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= maxIdlePerServer {
+	if len(p.idle[c.address]) >= maxIdlePerServer || len(c.served) >= maxServed {
 		_ = c.Close()
 		return
 	}
@@ -222,6 +229,7 @@
 	// Closing the connection signals to the server that the request was canceled.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(deadline.Add(deadlineGrace))
+	c.served = append(c.served, xxhash.Sum64String(r.ID))
 	sendErr := c.send(r)
 	resp, reusable, err := p.receive(ctx, c, r)
 	if err != nil {
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -68,15 +68,19 @@
 		if raw == "" {
 			return
 		}
+		raw, ends := strings.CutSuffix(raw, cutMark)
 		if _, err := io.WriteString(c, raw); err != nil {
 			return
 		}
-		if strings.Contains(raw, "Connection: close") || strings.HasSuffix(raw, "cut") {
+		if ends || strings.Contains(raw, "Connection: close") || strings.HasSuffix(raw, "cut") {
 			return
 		}
 	}
 }
 
+// cutMark at the end of a response is not sent; the connection is closed in its place.
+const cutMark = "\x00cut here"
+
 func okResponse(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
 }
