Use a connection to a backend server again only after an answer that names its attempt

Change: a connection that has carried an answer without the id of its attempt is closed with that answer; load reports have connections of their own. A request that meets such a connection in the moment of its close counts as not sent.

io/host TestRefusalWrittenAgainIsNotPassedOn: 'not run' with a run before, holds now. TestAnswerCutAtEachByteIsNotWhole held before.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -20,7 +20,7 @@
 	busyRetryAfter        = 500 * time.Millisecond
 	unavailableRetryAfter = 1 * time.Second
 	minAttemptTime        = 50 * time.Millisecond // the deadline is split between two attempts only if each gets more than this
-	attemptHeader         = "Jayshift-Attempt"
+	attemptHeader         = target.AttemptHeader
 	backendDeadlineHeader = "Jayshift-Deadline-Ms"
 )
 
--- a/io/target/guard.go
+++ b/io/target/guard.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // guardedConn is a connection to a backend server that can be closed for sending before a request is written to it, which
@@ -12,6 +14,7 @@
 type guardedConn struct {
 	net.Conn
 	refused atomic.Bool
+	unsent  atomic.Bool // the last Write was refused
 }
 
 func dialGuarded(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -27,10 +30,17 @@
 // refuse makes each later Write fail without sending.
 func (c *guardedConn) refuse() { c.refused.Store(true) }
 
-// Write implements net.Conn. It returns ErrCallerLeft once refuse was called.
+// refusedUnsent reports whether the connection was refused before the request that was to be sent on it.
+func (c *guardedConn) refusedUnsent() bool { return c != nil && c.unsent.Load() }
+
+// errRefused means that the connection must not be used any more.
+var errRefused = merry.Sentinel("target: connection refused for sending")
+
+// Write implements net.Conn. It returns errRefused once refuse was called.
 func (c *guardedConn) Write(b []byte) (int, error) {
 	if c.refused.Load() {
-		return 0, ErrCallerLeft
+		c.unsent.Store(true)
+		return 0, errRefused
 	}
 	return c.Conn.Write(b)
 }
@@ -39,10 +49,15 @@
 type cancelingBody struct {
 	io.ReadCloser
 	cancel context.CancelFunc
+	conn   *guardedConn // to be closed with the body, nil if it may be used again
 }
 
 // Close implements io.Closer.
 func (b *cancelingBody) Close() error {
 	defer b.cancel()
-	return b.ReadCloser.Close()
+	err := b.ReadCloser.Close()
+	if b.conn != nil {
+		_ = b.conn.Close()
+	}
+	return err
 }
--- a/io/target/pool.go
+++ b/io/target/pool.go
@@ -28,7 +28,9 @@
 	reportTimeout     = 500 * time.Millisecond
 	reportPath        = "/health"
 	maxHeaderBytes    = 64 << 10 // of a response
-	extraConns        = 1        // connections in addition to the server's slots, for load reports
+	// AttemptHeader carries the id of an attempt, which backend servers echo in their answers.
+	AttemptHeader = "Jayshift-Attempt"
+	extraConns    = 1 // connections in addition to the server's slots, for load reports
 )
 
 var (
@@ -123,6 +125,7 @@
 		return nil, ErrNotSent
 	}
 	var connected, reused, callerLeft atomic.Bool
+	var used atomic.Pointer[guardedConn]
 	ctx, cancel := context.WithCancel(r.Context())
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
 		if socket.CallerLeft(ctx) {
@@ -131,19 +134,26 @@
 			cancel() // or the transport would try another connection
 			return
 		}
+		used.Store(c.Conn.(*guardedConn))
 		connected.Store(true)
 		reused.Store(c.Reused)
 	}}
 	response, err := t.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err == nil {
-		response.Body = &cancelingBody{ReadCloser: response.Body, cancel: cancel}
+		body := &cancelingBody{ReadCloser: response.Body, cancel: cancel}
+		if response.Header.Get(AttemptHeader) != r.Header.Get(AttemptHeader) {
+			// The server could write this answer again without a sign of which request it belongs to.
+			used.Load().refuse()
+			body.conn = used.Load()
+		}
+		response.Body = body
 		return response, nil
 	}
 	defer cancel()
 	switch {
 	case callerLeft.Load():
 		return nil, ErrCallerLeft
-	case !connected.Load():
+	case !connected.Load() || used.Load().refusedUnsent():
 		return nil, merry.Prepend(ErrNotSent, err.Error())
 	case r.Context().Err() != nil:
 		return nil, merry.Prepend(ErrTimeout, err.Error())
@@ -190,6 +200,7 @@
 	if err != nil {
 		return route.LoadReport{}, merry.Wrap(err)
 	}
+	r.Close = true // the report, written again, must not be taken for the answer to a request
 	response, err := t.transport.RoundTrip(r)
 	if err != nil {
 		return route.LoadReport{}, merry.Wrap(err)
