Do not take a slow store for one that could be read; log when a copy is not used

Peers would have refused to pass on a copy of 1.6 s, so that all hosts turned to the slow store.

Change: an answer counts as a sign only if it takes 0.6 s at the most; copies are passed on up to an age of 2.5 s, which they state. Two log lines say that the copy is not used, and used again.

--- a/core/stale/stale.go
+++ b/core/stale/stale.go
@@ -17,6 +17,8 @@
 	// minLag is how much later the store must be known to have answered than the copy was confirmed. A copy in regular use
 	// is never that old.
 	minLag = 1500 * time.Millisecond
+	// maxAnswerTime is the time that an answer of the store may take: a slow store is no sign that a later copy can be had.
+	maxAnswerTime = 600 * time.Millisecond
 	// maxPathGap is the time without a sign of a path to the store after which there counts as none.
 	maxPathGap = 2500 * time.Millisecond
 )
@@ -35,7 +37,11 @@
 func New(bound time.Duration) *Monitor { return &Monitor{bound: bound} }
 
 // RecordStore records that the store has answered a call that this host sent at the given time.
-func (m *Monitor) RecordStore(now, sentAt time.Time) { m.record(now, sentAt) }
+func (m *Monitor) RecordStore(now, sentAt time.Time) {
+	if now.Sub(sentAt) <= maxAnswerTime {
+		m.record(now, sentAt)
+	}
+}
 
 // RecordPeer records the arrival of a peer's heartbeat which says that the peer's copy is fresh.
 func (m *Monitor) RecordPeer(now time.Time) { m.record(now, now.Add(-MaxFreshAge-maxClaimAge)) }
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -10,6 +10,7 @@
 	"jayshift/core/poison"
 	"jayshift/core/quota"
 	"jayshift/core/roster"
+	"jayshift/core/stale"
 	"jayshift/core/wire"
 	"jayshift/io/rates"
 )
@@ -23,9 +24,10 @@
 func (n *Node) heartbeat() wire.EdgeHeartbeat {
 	n.quota.SetCounters(quota.Counters{Hosts: n.peers.ActiveRegions(time.Now()), Counts: n.countsTeam()})
 	now := time.Now()
+	n.logExpiry()
 	n.updateLimits(now)
 	names, sum := n.quota.TeamNames()
-	fresh := n.watch.Fresh()
+	fresh := n.watch.Fresh(stale.MaxFreshAge)
 	h := wire.EdgeHeartbeat{
 		Fresh: &fresh,
 		Ready: n.ready(), Leaving: n.leaving.Load(), Reads: !n.watch.StoreLost(), CutOff: n.reach.CutOff(), Revision: int(n.watch.Revision()),
@@ -152,6 +154,20 @@
 	return n.stale.Expired(time.Now(), n.watch.ConfirmedAt())
 }
 
+// logExpiry logs that the copy of the store is not used any more, or again.
+func (n *Node) logExpiry() {
+	expired := n.copyExpired()
+	if n.expired.Swap(expired) == expired {
+		return
+	}
+	attributes := []any{"age", n.watch.Age().Round(time.Millisecond), "revision", int64(n.watch.Revision())}
+	if expired {
+		n.log.Warn("copy of the store too old, refusing requests", attributes...)
+		return
+	}
+	n.log.Info("copy of the store in use again", attributes...)
+}
+
 // directory returns the addresses that callers in a zone should connect to, and their TTL: the ready hosts of the zone,
 // or of the region if the zone has none, or otherwise of all regions, up to maxDirectoryAddresses.
 func (n *Node) directory(zone ident.AvailabilityZone, region ident.Region) ([]string, time.Duration) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -73,6 +73,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	leaving      atomic.Bool
+	expired      atomic.Bool // the last look found the copy of the store expired
 	startedAt    time.Time
 
 	watch    *watch.Watch
--- a/io/peer/copy.go
+++ b/io/peer/copy.go
@@ -24,21 +24,24 @@
 	copyTimeout  = 1100 * time.Millisecond // until a copy begins, and without any progress after that
 	maxCopyTime  = 8 * time.Second         // of a copy that makes progress
 	maxCopySize  = 64 << 20                // bytes
+	// maxServedAge is the age of a copy up to which it is served to peers that read the store through this host. It leaves room
+	// for a slow store: the age is stated in the copy.
+	maxServedAge = 2500 * time.Millisecond
 )
 
 var copyClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * time.Second}}
 
 // ServeCopy sends a peer the keys of the store that have changed after the revision in afterParam, or all keys. With
-// readParam, for a peer that reads the store through this host, it fails with status 503 unless this host's copy is fresh.
-// Without readParam, for a peer that has lost the store, it sends the copy that this host has,
-// and fails with the same status only if that copy is not complete.
+// readParam, for a peer that reads the store through this host, it fails with status 503 if this host has lost the store or
+// its copy is older than maxServedAge. Without readParam, for a peer that has lost the store, it sends the copy that this
+// host has, and fails with the same status only if that copy is not complete.
 func (p *Peers) ServeCopy(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseInt(r.URL.Query().Get(afterParam), 10, 64)
 	if err != nil {
 		after = 0
 	}
 	c, ok := p.deps.Watch.Copy(r.Context(), ident.Revision(after))
-	if !ok || r.URL.Query().Has(readParam) && !p.deps.Watch.Fresh() {
+	if !ok || r.URL.Query().Has(readParam) && !p.deps.Watch.Fresh(maxServedAge) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -51,7 +54,7 @@
 // Query parameters of a request for a copy.
 const (
 	afterParam = "after" // store revision up to which the peer's copy is complete
-	readParam  = "read"  // set if the serving host's copy must be fresh
+	readParam  = "read"  // set if the serving host's copy must not be older than maxServedAge
 )
 
 // Fetch gets the changes after the revision from the host that reads the store for this host.
--- a/io/watch/copy.go
+++ b/io/watch/copy.go
@@ -6,7 +6,6 @@
 	"unicode/utf8"
 
 	"jayshift/core/ident"
-	"jayshift/core/stale"
 	"jayshift/core/wire"
 )
 
@@ -79,12 +78,12 @@
 // maxCopyAge is the largest age that is told to peers.
 const maxCopyAge = 24 * time.Hour
 
-// Fresh reports whether this host's copy may be passed on to peers as current: the last call to the store did not fail, and
-// the copy was confirmed within stale.MaxFreshAge.
-func (w *Watch) Fresh() bool {
+// Fresh reports whether this host's copy is complete and was confirmed within maxAge, and the last call to the store did not
+// fail.
+func (w *Watch) Fresh(maxAge time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.loaded && !w.storeLost && w.deps.Now().Sub(w.confirmedAt) <= stale.MaxFreshAge
+	return w.loaded && !w.storeLost && w.deps.Now().Sub(w.confirmedAt) <= maxAge
 }
 
 // hasChangesAfter reports whether there is a relevant change after the revision. The caller holds mu.
