--- a/review/stand/proxy.go
+++ b/review/stand/proxy.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -49,9 +50,19 @@
 
 // cut resets all connections and refuses new ones; heal ends the cut.
 func (p *proxy) cut() {
+	p.refuse()
+	p.reset()
+}
+
+func (p *proxy) refuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.listener.Close()
+}
+
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for c := range p.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
@@ -104,8 +115,9 @@
 
 // chunk is what the proxy has read, and when it is to be passed on.
 type chunk struct {
-	data []byte
-	due  time.Time
+	data  []byte
+	due   time.Time
+	reset bool // the stream has ended with a reset
 }
 
 // pump copies one direction, each piece after the delay, and then the end of the stream.
@@ -113,15 +125,17 @@
 	openedAt := time.Now()
 	chunks := make(chan chunk, 4096)
 	go func() {
-		defer close(chunks)
 		for {
 			buffer := make([]byte, 16<<10)
 			n, err := from.Read(buffer)
+			if p.isSilent(openedAt) {
+				return // what is sent from now on is neither read nor answered
+			}
 			if n > 0 {
-				chunks <- chunk{buffer[:n], time.Now().Add(p.delay)}
+				chunks <- chunk{data: buffer[:n], due: time.Now().Add(p.delay)}
 			}
 			if err != nil {
-				chunks <- chunk{nil, time.Now().Add(p.delay)}
+				chunks <- chunk{due: time.Now().Add(p.delay), reset: err != io.EOF}
 				return
 			}
 		}
@@ -131,6 +145,11 @@
 		if p.isSilent(openedAt) {
 			continue
 		}
+		if c.reset {
+			_ = to.(*net.TCPConn).SetLinger(0)
+			_ = to.Close()
+			continue
+		}
 		if c.data == nil {
 			_ = to.(*net.TCPConn).CloseWrite()
 			continue
--- a/review/stand/stage.go
+++ b/review/stand/stage.go
@@ -161,7 +161,7 @@
 	}
 	settings := fmt.Sprintf("[host]\nname = %s\navailability-zone = %s\nregion = %s\nmemory-mb = 284\nmax-descriptors = 4100\nlink-mbit = 1000\n\n"+
 		"[listen]\ncaller = %s\ndirectory = %s\nready = %s\nlink = %s\nmetrics = %s\n\n[store]\naddress = %s\n\n"+
-		"[fleet]\nseeds = %s\nregions = z1=r1,z2=r2\n\n[platform]\nbounds = %s\n",
+		"[fleet]\nseeds = %s\nregions = z1=r1,z2=r2,z3=r3\n\n[platform]\nbounds = %s\n",
 		h.name, h.zone, h.region, h.caller, h.directory, h.ready, h.link, h.metrics, storeAddress, strings.Join(seeds, ","), bounds)
 	h.ini = filepath.Join(s.folder, h.name+".ini")
 	if err := os.WriteFile(h.ini, []byte(settings), 0o600); err != nil {
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -21,6 +21,7 @@
 // run is one request that a target began to work on.
 type run struct {
 	id, method, path, target string
+	service                  string
 	at                       time.Time
 	ended                    bool // it ran to its end
 	direct                   bool // it came over the way of a host that has one of its own
@@ -38,6 +39,7 @@
 	name    string // of the machine; each start has an id of its own
 	address string
 	zone    string
+	service string
 	slots   int
 	runTime time.Duration
 	// crashes reports whether a request crashes the target that begins to run it.
@@ -83,7 +85,7 @@
 		return nil, err
 	}
 	return &target{
-		stage: s, name: name, zone: "z1", slots: slots, runTime: runTime, state: "ready", conns: map[net.Conn]bool{}, downTime: 3 * time.Second,
+		stage: s, name: name, zone: "z1", service: "a", slots: slots, runTime: runTime, state: "ready", conns: map[net.Conn]bool{}, downTime: 3 * time.Second,
 		address: address,
 	}, nil
 }
@@ -149,7 +151,7 @@
 	t.seq++
 	key := "servers/" + t.id
 	entry := map[string]any{
-		"service": "a", "address": t.address, "zone": t.zone, "version": "v1", "slots": t.slots, "state": t.state, "coldLeftS": max(0, time.Until(t.coldUntil).Seconds()),
+		"service": t.service, "address": t.address, "zone": t.zone, "version": "v1", "slots": t.slots, "state": t.state, "coldLeftS": max(0, time.Until(t.coldUntil).Seconds()),
 		"seq": t.seq, "born": t.born,
 	}
 	t.mu.Unlock()
@@ -250,7 +252,7 @@
 		}
 		return
 	}
-	entry := &run{id: r.Header.Get("X-Request-Id"), method: r.Method, path: r.URL.Path, target: id, at: time.Now(), direct: strings.HasPrefix(r.RemoteAddr, proxyIP)}
+	entry := &run{id: r.Header.Get("X-Request-Id"), method: r.Method, path: r.URL.Path, target: id, service: t.service, at: time.Now(), direct: strings.HasPrefix(r.RemoteAddr, proxyIP)}
 	t.mu.Lock()
 	if t.boot != boot || t.listener == nil && !t.leaving {
 		t.mu.Unlock()
