--- a/review/stand/regress.go
+++ b/review/stand/regress.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 )
@@ -13,11 +12,18 @@
 func init() { cases["regress-relayed"] = regressThroughPeers }
 
 const (
-	downgradeSlack = 250 * time.Millisecond
+	downgradeSlack = 250 * time.Millisecond // downgradeSlackS
 	changes        = 16
 	changeGap      = 2500 * time.Millisecond
 )
 
+// change is a change of the configuration that moves the route to a service.
+type change struct {
+	at      time.Time
+	service string
+}
+
+// configureService writes a configuration whose route leads to the service.
 func (s *stage) configureService(version int, service string) {
 	s.store.put("op/config", map[string]any{
 		"version": version,
@@ -34,6 +40,9 @@
 	s.note("config %d confirmed: the route leads to service %s", version, service)
 }
 
+// regressThroughPeers cuts one host off from the targets, so that it has its requests sent by peers in two other regions, and moves the
+// route from one service to the other again and again. It looks for requests at that host that run at the old service although an
+// earlier one has run at the new one.
 func regressThroughPeers(s *stage) (bool, error) {
 	s.configureService(7, "a")
 	addresses := map[string]string{}
@@ -96,10 +105,6 @@
 		s.note("%s is cut off from the targets", cutHost.name)
 	}
 	time.Sleep(inTouch)
-	type change struct {
-		at      time.Time
-		service string
-	}
 	var list []change
 	for n := range changes {
 		service := []string{"b", "a"}[n%2]
@@ -109,37 +114,46 @@
 	}
 	close(stop)
 	callers.Wait()
+	regressed := s.takenBack(list, answers)
+	s.note("%d of %d changes were taken back for a time at the host", regressed, changes)
+	return regressed > 0, nil
+}
+
+// takenBack returns how many changes were followed by requests that ran at the old service, sent later than downgradeSlackS after one
+// had run at the new service.
+func (s *stage) takenBack(list []change, answers []answer) (count int) {
 	ranAt := map[string]run{}
 	for _, r := range s.allRuns() {
 		ranAt[r.id] = r
 	}
-	sort.Slice(answers, func(i, j int) bool { return answers[i].sentAt.Before(answers[j].sentAt) })
-	regressed := 0
 	for n, c := range list {
 		end := time.Now()
 		if n+1 < len(list) {
 			end = list[n+1].at
 		}
-		var seen time.Time
+		var old, seen []time.Time
 		for _, a := range answers {
 			r, ok := ranAt[a.id]
-			if ok && a.sentAt.After(c.at) && a.sentAt.Before(end) && r.service == c.service && (seen.IsZero() || r.at.Before(seen)) {
-				seen = r.at
+			switch {
+			case !ok || a.sentAt.Before(c.at) || !a.sentAt.Before(end):
+			case r.service == c.service:
+				seen = append(seen, r.at)
+			default:
+				old = append(old, a.sentAt)
 			}
 		}
-		worst, count := time.Duration(0), 0
-		for _, a := range answers {
-			r, ok := ranAt[a.id]
-			if ok && !seen.IsZero() && a.sentAt.After(seen.Add(downgradeSlack)) && a.sentAt.Before(end) && r.service != c.service {
-				count++
-				worst = max(worst, a.sentAt.Sub(seen))
+		sortTimes(seen)
+		sortTimes(old)
+		late := 0
+		for _, at := range old {
+			if len(seen) > 0 && at.After(seen[0].Add(downgradeSlack)) {
+				late++
 			}
 		}
-		if count > 0 {
-			regressed++
-			s.note("change %d: %d requests at the host ran at the old service, up to %.2f s after one had run at the new one", n+1, count, worst.Seconds())
+		if late > 0 {
+			count++
+			s.note("change %d: %d requests ran at the old service, up to %.2f s after one had run at the new one", n+1, late, old[len(old)-1].Sub(seen[0]).Seconds())
 		}
 	}
-	s.note("%d of %d changes were taken back for a time at the host", regressed, changes)
-	return regressed > 0, nil
+	return count
 }
