--- a/review/stand/leave.go
+++ b/review/stand/leave.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return false, err
 	}
-	cutHost, err := s.addHost("front-1", view)
+	cutHost, err := s.addHost("front-1", view.address)
 	if err != nil {
 		return false, err
 	}
--- a/review/stand/restore.go
+++ b/review/stand/restore.go
@@ -71,13 +71,18 @@
 		}
 	}
 	callers.Wait()
+	return s.lateAtGone(gone, confirmed) > 0, nil
+}
+
+// lateAtGone returns how many requests ran at a target that is gone, later than drainS after the confirmation of that.
+func (s *stage) lateAtGone(gone *target, confirmed time.Time) int {
 	late := 0
 	for _, r := range s.allRuns() {
 		if r.target == gone.id && r.at.After(confirmed.Add(drain)) {
 			late++
-			s.note("%s ran at %s %.1f s after the confirmation that it is gone", r.id, gone.id, r.at.Sub(confirmed).Seconds())
+			s.note("%s ran at %s %.2f s after the confirmation that it is gone", r.id, gone.id, r.at.Sub(confirmed).Seconds())
 		}
 	}
 	s.note("%d requests reached the target later than drainS after the confirmation", late)
-	return late > 0, nil
+	return late
 }
--- a/review/stand/silent.go
+++ b/review/stand/silent.go
@@ -49,7 +49,7 @@
 		hosts, ways, links[h.link] = append(hosts, h), append(ways, way), way.address
 	}
 	for _, h := range hosts {
-		if err := s.launch(h, view); err != nil {
+		if err := s.launch(h, view.address); err != nil {
 			return false, err
 		}
 	}
--- a/review/stand/split.go
+++ b/review/stand/split.go
@@ -84,7 +84,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		if err := s.launch(h, view); err != nil {
+		if err := s.launch(h, view.address); err != nil {
 			return nil, nil, err
 		}
 	}
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -63,16 +64,36 @@
 	return s, nil
 }
 
-// view serves the store on another address, with other addresses of backend servers: the way to them is another one.
-func (s *store) view(addresses map[string]string) (string, error) {
+// view is a way to the store of its own, with other addresses in the store's values: those of proxies.
+type view struct {
+	address   string
+	store     *store
+	addresses map[string]string
+	down      atomic.Bool // the store turns away who comes this way
+	watches   atomic.Int64
+}
+
+// view opens a way to the store.
+func (s *store) view(addresses map[string]string) (*view, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return nil, err
+	}
+	v := &view{address: l.Addr().String(), store: s, addresses: addresses}
+	go func() { _ = http.Serve(l, v) }()
+	return v, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (v *view) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if v.down.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Path == "/api/kv-watch" {
+		v.watches.Add(1)
 	}
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, addresses) }))
-	}()
-	return l.Addr().String(), nil
+	v.store.serve(w, r, v.addresses)
 }
 
 func (s *store) update(change func()) {
