--- a/review/stand/regain.go
+++ b/review/stand/regain.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -12,22 +13,26 @@
 func init() { cases["regained-gone"] = goneAfterRegain }
 
 const (
-	turnedAway  = 4 * time.Second         // for which the store turns one host away
-	leaveAfter  = 1200 * time.Millisecond // after that, until a target leaves
-	readersTime = 3 * time.Second         // for which it is counted which hosts read the store
+	turnedAway  = 4 * time.Second        // for which the store turns one host away
+	readersTime = 3 * time.Second        // for which it is counted which hosts read the store
+	pollTime    = 500 * time.Millisecond // between two watches of a host
 )
 
+// leavingTimes are the times after the host is served again at which a target leaves, one after the other: the other hosts read through
+// it again within a second or so, but the script cannot see when.
+var leavingTimes = []time.Duration{1200 * time.Millisecond, 1000 * time.Millisecond, 1400 * time.Millisecond, 1100 * time.Millisecond}
+
 // goneAfterRegain lets the store turn away for a while the host through which the others read it, and takes a target's entry out of the
-// store soon after that host is served again. It sends requests to the other hosts, which the store has never turned away.
+// store soon after that host is served again, four times. It sends requests to the other hosts, which the store did not turn away.
 func goneAfterRegain(s *stage) (bool, error) {
 	s.configure(7)
-	for i := range 6 {
-		if _, err := s.addTarget(fmt.Sprintf("t%d", i+1), 4, 60*time.Millisecond); err != nil {
+	for i := range 8 {
+		if _, err := s.addTarget(fmt.Sprintf("t%d", i+1), 4, 150*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
 	var views []*view
-	for i := range 3 {
+	for i := range 4 {
 		v, err := s.store.view(nil)
 		if err != nil {
 			return false, err
@@ -37,12 +42,26 @@
 			return false, err
 		}
 	}
-	time.Sleep(inTouch)
+	late := 0
+	for i, after := range leavingTimes {
+		time.Sleep(inTouch)
+		late += s.leaveAfterRegain(views, s.targets[i], after)
+	}
+	for _, text := range []string{"store lost", "store regained", "reader lost"} {
+		for _, line := range s.grep(text) {
+			s.log("%s", line)
+		}
+	}
+	return late > 0, nil
+}
+
+// leaveAfterRegain plays it once, and returns how many requests ran at the target later than drainS after the confirmation.
+func (s *stage) leaveAfterRegain(views []*view, gone *target, after time.Duration) int {
 	stop := s.traffic(20)
 	reader := s.findReader(views)
 	stop()
 	s.note("%s reads the store for the others", s.hosts[reader].name)
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(300*time.Millisecond + rand.N(pollTime)) // at any moment between two watches
 	if s.trouble {
 		views[reader].down.Store(true)
 		s.note("the store turns %s away", s.hosts[reader].name)
@@ -52,8 +71,7 @@
 		views[reader].down.Store(false)
 		s.note("the store serves %s again", s.hosts[reader].name)
 	}
-	time.Sleep(leaveAfter)
-	gone := s.targets[0]
+	time.Sleep(after)
 	gone.mu.Lock()
 	gone.silent, gone.leaving = true, true
 	gone.mu.Unlock()
@@ -62,7 +80,7 @@
 	s.note("%s leaves: its entry is removed, without a report that it drains; it serves on and says in its answers that it leaves", gone.id)
 	time.Sleep(drain + 50*time.Millisecond)
 	var callers sync.WaitGroup
-	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		for i, h := range s.hosts {
 			if i == reader {
 				continue
@@ -74,7 +92,7 @@
 		}
 	}
 	callers.Wait()
-	return s.lateAtGone(gone, confirmed) > 0, nil
+	return s.lateAtGone(gone, confirmed)
 }
 
 // findReader returns the host whose way to the store sees the most watches: the others take its copy.
