--- a/review/stand/regain.go
+++ b/review/stand/regain.go
@@ -20,7 +20,7 @@
 
 // leavingTimes are the times after the host is served again at which a target leaves, one after the other: the other hosts read through
 // it again within a second or so, but the script cannot see when.
-var leavingTimes = []time.Duration{1200 * time.Millisecond, 1000 * time.Millisecond, 1400 * time.Millisecond, 1100 * time.Millisecond}
+var leavingTimes = []time.Duration{1200 * time.Millisecond, 1300 * time.Millisecond, 1200 * time.Millisecond, 1300 * time.Millisecond}
 
 // goneAfterRegain lets the store turn away for a while the host through which the others read it, and takes a target's entry out of the
 // store soon after that host is served again, four times. It sends requests to the other hosts, which the store did not turn away.
