review: requests behind a broken-off answer on a connection are passed on and not answered

Cause: requests of one connection are handled concurrently, also behind an answer that is streamed. When that breaks off, the connection is closed, whatever was passed on behind it. Tried on the code as it stands: ten clients, eight safe requests at a time, 1.8% of the answers of half of the targets broken off.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -37,7 +37,8 @@
 }
 
 var cases = map[string]func(*play) (bool, error){
-	"unsigned": playUnsigned,
+	"pipelined": playPipelined,
+	"unsigned":  playUnsigned,
 }
 
 func main() {
