review: a path with an encoded slash is run by the service of another route

Cause: the route is looked up by the decoded path. Tried on the code as it stands: routes /shelf/ and /shelf/box/, paths with %2F.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -38,6 +38,8 @@
 
 var cases = map[string]func(*play) (bool, error){
 	"pipelined": playPipelined,
+	"route":     playRoute,
+	"changed":   playChanged,
 	"unsigned":  playUnsigned,
 }
 
