review: clients that send many requests ahead take a host's memory

Cause: a connection has up to 16 requests in hand, and the budget charges each with the bytes of its head only.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -38,6 +38,7 @@
 
 var cases = map[string]func(*play) (bool, error){
 	"pipelined": playPipelined,
+	"ahead":     playAhead,
 	"route":     playRoute,
 	"changed":   playChanged,
 	"unsigned":  playUnsigned,
