--- a/review/stand2/ahead.go
+++ b/review/stand2/ahead.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,10 +34,13 @@
 		return false, err
 	}
 	s.put("op/config", config(7, []route{{"r-read", "/read/", "safe", "svc", 2, 2}}))
+	var ran atomic.Int64
 	for i := range aheadTargets {
-		if _, err := newTarget(s, fmt.Sprintf("i-%02d", i), "svc", zones[i%len(zones)], aheadWork); err != nil {
+		t, err := newTarget(s, fmt.Sprintf("i-%02d", i), "svc", zones[i%len(zones)], aheadWork)
+		if err != nil {
 			return false, err
 		}
+		t.record = func(*target, *http.Request) { ran.Add(1) }
 	}
 	e, err := newEdge(p.dir, "front-donawitz-a-1", zones[0], s.address, nil)
 	if err != nil {
@@ -76,7 +81,8 @@
 	if err != nil {
 		return false, fmt.Errorf("the process has ended: %w", err)
 	}
-	r := send(e.front, "GET", "/read/ordinary", "", ordinaryLimit)
+	p.say("%d requests sent by the crowd, which reads no answers, or one byte of each without trouble; %d run by targets", lastID.Load(), ran.Load())
+	r := send(e.front, http.MethodGet, "/read/ordinary", "", ordinaryLimit)
 	p.say("the process has used %d MB at most, of %d MB; an ordinary request afterwards: %d", peak, machineMB, r.status)
 	return peak <= machineMB, nil
 }
--- a/review/stand2/pipelined.go
+++ b/review/stand2/pipelined.go
@@ -33,12 +33,13 @@
 type pipelined struct {
 	play *play
 
-	mu     sync.Mutex
-	ranAt  map[string]*target // by request id
-	bad    map[*target]bool
-	long   int // long answers of bad targets
-	broken int
-	lost   int
+	mu       sync.Mutex
+	ranAt    map[string]*target // by request id
+	bad      map[*target]bool
+	long     int // long answers of bad targets
+	broken   int
+	answered int
+	lost     int
 }
 
 // playPipelined: clients send further safe requests before the first was answered. Two in a hundred answers break off.
@@ -78,8 +79,8 @@
 		wg.Go(func() { c.client(e.front, n) })
 	}
 	wg.Wait()
-	p.say("%d requests sent, %d answers broken off by their targets, %d requests passed on to sound targets and not answered",
-		pipelineClients*pipelineRounds*pipelineDepth, c.broken, c.lost)
+	p.say("%d requests sent, %d run by targets, %d answered whole, %d answers broken off by their targets, %d requests passed on to sound targets and not answered",
+		pipelineClients*pipelineRounds*pipelineDepth, len(c.ranAt), c.answered, c.broken, c.lost)
 	return c.lost <= maxLost, nil
 }
 
@@ -130,7 +131,7 @@
 		}
 		ids := sendRound(conn, n, round)
 		unanswered := readRound(conn, reader, ids)
-		c.count(unanswered)
+		c.count(len(ids)-len(unanswered), unanswered)
 		if len(unanswered) > 0 {
 			_ = conn.Close()
 			conn = nil
@@ -141,11 +142,12 @@
 	}
 }
 
-// count counts the requests without an answer that were passed on to a target which breaks nothing off.
-func (c *pipelined) count(unanswered []string) {
+// count counts the requests that were answered, and those without an answer that were passed on to a target which breaks nothing off.
+func (c *pipelined) count(answered int, unanswered []string) {
 	time.Sleep(soundWork) // so that all that were passed on have begun to run
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.answered += answered
 	for _, id := range unanswered {
 		if t := c.ranAt[id]; t != nil && !c.bad[t] {
 			c.lost++
