--- a/review/stand2/edge.go
+++ b/review/stand2/edge.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,6 +26,27 @@
 	"donawitz-a": "styria", "judenburg-b": "styria", "enns-a": "upperaustria", "wels-b": "upperaustria", "brixlegg-a": "tyrol", "kufstein-b": "tyrol",
 }
 
+// Ports of the system's processes, below those that the kernel gives to outgoing connections.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
+// freeAddress returns a loopback address on which nothing listens.
+func freeAddress() (string, error) {
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+	}
+	return "", errNoPort
+}
+
+var errNoPort = errors.New("no free port")
+
 // edge is a process of the system.
 type edge struct {
 	name, zone, front, directory, ready, control, metrics string
@@ -40,12 +63,10 @@
 func newEdge(dir, name, zone, storeAddress string, seeds []string) (*edge, error) {
 	e := &edge{name: name, zone: zone}
 	for _, a := range []*string{&e.front, &e.directory, &e.ready, &e.control, &e.metrics} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		var err error
+		if *a, err = freeAddress(); err != nil {
 			return nil, err
 		}
-		*a = l.Addr().String()
-		_ = l.Close()
 	}
 	var pairs []string
 	for _, z := range zones {
