--- a/review/stand2/pipelined.go
+++ b/review/stand2/pipelined.go
@@ -15,14 +15,15 @@
 )
 
 const (
-	pipelineClients = 10
-	pipelineRounds  = 20 // of each client
+	pipelineClients = 16
+	pipelineRounds  = 16 // of each client
 	pipelineDepth   = 8  // requests of a round, sent at once
 	pipelineTargets = 16
-	badTargets      = 8       // targets that break answers off: half of them
-	brokenEvery     = 7       // long answer of a bad target that breaks off; one answer in pipelineDepth is long, so that it is 1.8% of its answers
-	longAnswer      = 400_000 // bytes
-	breakAt         = 300_000 // bytes after which the long answer breaks off
+	badTargets      = 8               // targets that break answers off: half of them
+	brokenShare     = 0.02            // of the answers of the bad targets, at most, at any moment
+	brokenTime      = 5 * time.Second // in which answers break off
+	longAnswer      = 400_000         // bytes
+	breakAt         = 300_000         // bytes after which the long answer breaks off
 	longWork        = 100 * time.Millisecond
 	soundWork       = 300 * time.Millisecond
 	maxLost         = 3 // "more than three times"
@@ -36,7 +37,8 @@
 	mu       sync.Mutex
 	ranAt    map[string]*target // by request id
 	bad      map[*target]bool
-	long     int // long answers of bad targets
+	begun    time.Time // when answers begin to break off
+	badRuns  int       // requests that bad targets have begun to run since then
 	broken   int
 	answered int
 	lost     int
@@ -60,6 +62,9 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.ranAt[r.Header.Get("X-Request-Id")] = t
+			if c.bad[t] && time.Since(c.begun) <= brokenTime {
+				c.badRuns++
+			}
 		}
 		t.handle = func(w http.ResponseWriter, r *http.Request, _ []byte) bool { return c.answerLong(t, w, r) }
 	}
@@ -74,11 +79,13 @@
 		return false, err
 	}
 	time.Sleep(5 * time.Second) // more than stabilityS
+	c.begun = time.Now()
 	var wg sync.WaitGroup
 	for n := range pipelineClients {
 		wg.Go(func() { c.client(e.front, n) })
 	}
 	wg.Wait()
+	p.say("in the first %v the bad targets began to run %d requests and broke %d answers off", brokenTime, c.badRuns, c.broken)
 	p.say("%d requests sent, %d run by targets, %d answered whole, %d answers broken off by their targets, %d requests passed on to sound targets and not answered",
 		pipelineClients*pipelineRounds*pipelineDepth, len(c.ranAt), c.answered, c.broken, c.lost)
 	return c.lost <= maxLost, nil
@@ -101,15 +108,15 @@
 	panic(http.ErrAbortHandler)
 }
 
-// breaksOff reports whether the target breaks off the long answer that it is about to give.
+// breaksOff reports whether the target breaks off the long answer that it is about to give: within brokenTime, if it is bad and the share
+// of what the bad targets have begun to run since then stays within brokenShare.
 func (c *pipelined) breaksOff(t *target) bool {
 	if !c.play.trouble || !c.bad[t] {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.long++
-	if c.long%brokenEvery != 0 {
+	if time.Since(c.begun) > brokenTime || float64(c.broken+1) > brokenShare*float64(c.badRuns) {
 		return false
 	}
 	c.broken++
