--- a/review/stand3/target.go
+++ b/review/stand3/target.go
@@ -18,7 +18,7 @@
 
 const (
 	// planHeader tells a target how to answer a request, as a URL query: n (bytes of the body), delay (milliseconds until the answer
-	// begins) and pause (milliseconds from the first part of the body to the rest).
+	// begins), pause (milliseconds from the first part of the body to the rest) and crash (the request crashes the target).
 	planHeader = "X-Plan"
 	// A faulty target breaks off garbleAnswers of 5 answers (0.4, the largest dose of garble). Of 10 targets garbleTargets are faulty (0.7).
 	garbleAnswers = 2
@@ -42,10 +42,16 @@
 	// faulty targets break off some answers, or let them go on without end if endless is set.
 	faulty, endless bool
 
-	mu      sync.Mutex
-	runs    map[string][]run // by request id
-	answers int
-	seq     int
+	// crashes is set for a target that a request may crash. It is back after crashTime.
+	crashes bool
+
+	mu       sync.Mutex
+	runs     map[string][]run // by request id
+	answers  int
+	seq      int
+	boots    int
+	listener net.Listener // nil while the target is down
+	conns    map[net.Conn]bool
 }
 
 // addTarget starts a target and writes its entry in the store from now on.
@@ -54,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &target{id: id, service: service, address: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), stage: s, runs: map[string][]run{}}
+	t := &target{id: id, service: service, address: l.Addr().String(), zone: zone, born: time.Now().UnixMilli(), stage: s, runs: map[string][]run{}, listener: l, conns: map[net.Conn]bool{}}
 	go t.accept(l)
 	t.report()
 	go func() {
@@ -66,15 +72,62 @@
 	return t, nil
 }
 
+// entryID returns the id of the target's present boot.
+func (t *target) entryID() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.bootID()
+}
+
+func (t *target) bootID() string { return t.id + "-" + strconv.Itoa(t.boots) }
+
+// crash ends the target's process: its connections are reset, new ones are refused, and its entry lapses. Another boot with another id
+// takes its place at the same address after crashTime.
+func (t *target) crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.listener == nil {
+		return
+	}
+	_ = t.listener.Close()
+	t.listener = nil
+	for c := range t.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	ended := t.bootID()
+	time.AfterFunc(crashTime, func() { t.restart(ended) })
+}
+
+func (t *target) restart(ended string) {
+	l, err := net.Listen("tcp", t.address)
+	if err != nil {
+		t.stage.log("%s doesn't come back: %v", t.id, err)
+		return
+	}
+	t.mu.Lock()
+	t.boots++
+	t.seq, t.born, t.listener, t.conns = 0, time.Now().UnixMilli(), l, map[net.Conn]bool{}
+	t.mu.Unlock()
+	go t.accept(l)
+	t.report()
+	t.stage.store.remove("servers/" + ended)
+}
+
 // report writes the target's entry in the store.
 func (t *target) report() {
 	t.mu.Lock()
 	t.seq++
-	seq := t.seq
+	seq, born, id, down := t.seq, t.born, t.bootID(), t.listener == nil
 	t.mu.Unlock()
-	t.stage.store.put("servers/"+t.id, map[string]any{
+	if down {
+		return
+	}
+	t.stage.store.put("servers/"+id, map[string]any{
 		"service": t.service, "address": t.address, "zone": t.zone, "version": "v1", "slots": slots, "state": "ready", "coldLeftS": 0,
-		"seq": seq, "born": t.born,
+		"seq": seq, "born": born,
 	})
 }
 
@@ -84,13 +137,21 @@
 		if err != nil {
 			return
 		}
+		t.mu.Lock()
+		t.conns[c] = true
+		t.mu.Unlock()
 		go t.serve(c)
 	}
 }
 
 // serve serves the requests of one connection, one at a time.
 func (t *target) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.conns, c)
+	}()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -108,10 +169,10 @@
 
 // answer answers a request. It returns false if the connection is to be closed.
 func (t *target) answer(c net.Conn, r *http.Request) bool {
-	id := r.Header.Get("X-Request-Id")
-	head := "X-Request-Id: " + id + "\r\nX-Instance-Id: " + t.id + "\r\n"
+	id, boot := r.Header.Get("X-Request-Id"), t.entryID()
+	head := "X-Request-Id: " + id + "\r\nX-Instance-Id: " + boot + "\r\n"
 	switch {
-	case r.Header.Get("X-Expect-Instance") != t.id:
+	case r.Header.Get("X-Expect-Instance") != boot:
 		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\n"+head+"Content-Length: 0\r\n\r\n")
 		return err == nil
 	case r.URL.Path == "/health":
@@ -120,6 +181,10 @@
 	}
 	garbled := t.begin(id)
 	plan, _ := url.ParseQuery(r.Header.Get(planHeader))
+	if t.crashes && plan.Has("crash") {
+		t.crash()
+		return false
+	}
 	time.Sleep(time.Duration(number(plan, "delay")) * time.Millisecond)
 	head += "X-Response-Signature: " + signatureOf(id, t.id) + "\r\nX-Server-Load: 1,0," + strconv.Itoa(slots) + "\r\n"
 	body := bodyOf(id, t.id, number(plan, "n"))
