--- a/review/stand3/poison.go
+++ b/review/stand3/poison.go
@@ -6,9 +6,7 @@
 	"bufio"
 	"fmt"
 	"net"
-	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -27,8 +25,6 @@
 // poison has a request that crashes each target which begins to run it. A client repeats it at three hosts in turn. Once it has crashed
 // three targets, and stabilityS later, all hosts are killed at the same moment and started again. The case counts the retries that
 // reach targets when the hosts are in touch again.
-var rollGap, _ = time.ParseDuration(os.Getenv("ROLL"))
-
 func poison(s *stage, trouble bool) int {
 	s.configure(7, route("r-log", "/log/", "logs", 2))
 	var targets []*target
@@ -82,16 +78,7 @@
 		return notRun
 	}
 	time.Sleep(stability + crashTime)
-	if os.Getenv("ROLL") != "" {
-		for _, e := range edges {
-			e.signal(syscall.SIGTERM)
-			waitFor(8*time.Second, e.ended)
-			if !s.run([]*edge{e}) {
-				return notRun
-			}
-			time.Sleep(rollGap)
-		}
-	} else if trouble {
+	if trouble {
 		for _, e := range edges {
 			e.kill()
 			s.log("%s killed", e.name)
