--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -30,6 +30,13 @@
 	return q
 }
 
+// unsafeRequest returns the same with another method.
+func unsafeRequest(prefix, plan string) *sent {
+	q := safeRequest(prefix, plan)
+	q.method = http.MethodDelete
+	return q
+}
+
 // bytes returns the request as it is sent.
 func (q *sent) bytes(deadlineMs int) []byte {
 	return []byte(fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%s: %s\r\n\r\n",
@@ -62,6 +69,13 @@
 	return !answer.Close
 }
 
+// unsafeRoute is a route of a config whose requests may run at most once.
+func unsafeRoute(name, prefix, service string, timeoutS float64) map[string]any {
+	r := route(name, prefix, service, timeoutS)
+	r["kind"] = "unsafe"
+	return r
+}
+
 // route is a safe route of a config.
 func route(name, prefix, service string, timeoutS float64) map[string]any {
 	return map[string]any{
--- a/review/stand3/poison.go
+++ b/review/stand3/poison.go
@@ -26,7 +26,7 @@
 // three targets, and stabilityS later, all hosts are killed at the same moment and started again. The case counts the retries that
 // reach targets when the hosts are in touch again.
 func poison(s *stage, trouble bool) int {
-	s.configure(7, route("r-log", "/log/", "logs", 2))
+	s.configure(7, route("r-log", "/log/", "logs", 2), unsafeRoute("r-claim", "/claim/", "logs", 2))
 	var targets []*target
 	for i := range poisonTargets {
 		t, err := s.addTarget(fmt.Sprintf("i-log%02d", i), "logs", zones[i%len(zones)].zone)
@@ -90,12 +90,16 @@
 	}
 	time.Sleep(stability + 2*time.Second)
 	reached = nil
+	repeated := time.Now()
 	for i := range poisonRetries {
 		send(i)
 	}
 	clients.Wait()
-	time.Sleep(time.Second)
+	time.Sleep(loadTime)
 	runs = allRuns(targets)
+	for _, q := range load.lost(runs, repeated) {
+		s.log("unsafe request %s was at work on %s: the client got %d %q", q.id, runs[q.id][0].target, q.status, q.note)
+	}
 	count := 0
 	for _, id := range reached {
 		if len(runs[id]) > 0 {
@@ -103,7 +107,7 @@
 			s.log("retry %s has reached %d targets", id, len(runs[id]))
 		}
 	}
-	s.log("%d of %d retries have reached targets (at most %d); ordinary requests: %d answered, %d not", count, poisonRetries, mostRetries, load.answered.Load(), load.failed.Load())
+	s.log("%d of %d retries have reached targets (at most %d); %d unsafe requests were lost meanwhile", count, poisonRetries, mostRetries, len(load.lost(runs, repeated)))
 	for _, e := range edges {
 		if e.ended() {
 			return notRun
