--- a/review/stand3/behind.go
+++ b/review/stand3/behind.go
@@ -15,8 +15,8 @@
 func init() { cases["behind"] = behind }
 
 const (
-	behindConns   = 150 // kept connections of clients
-	behindTargets = 30  // of each service, with 6 slots each
+	behindConns   = 500 // kept connections of clients
+	behindTargets = 90  // of each service, with 6 slots each
 	// behindPlan has answers of the largest size on the sheet, which take 400 ms from their first bytes to their last ones.
 	behindPlan = "n=30000&delay=50&pause=400"
 	otherPlan  = "n=100&delay=20"
@@ -52,7 +52,7 @@
 	start := make(chan struct{})
 	for i := range behindConns {
 		clients.Go(func() {
-			time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
 			c, err := net.Dial("tcp", e.caller)
 			if err != nil {
 				return
--- a/review/stand3/endless.go
+++ b/review/stand3/endless.go
@@ -13,7 +13,7 @@
 func init() { cases["endless"] = endless }
 
 const (
-	endlessRequests = 100
+	endlessRequests = 600
 	endlessTargets  = 20
 	// endlessPlan is that of each request. An answer without end sends the body 20 times a second.
 	endlessPlan = "n=30000&delay=50"
@@ -44,7 +44,7 @@
 	var clients sync.WaitGroup
 	for i := range endlessRequests {
 		clients.Go(func() {
-			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 8 * time.Millisecond)
 			c, err := net.Dial("tcp", e.caller)
 			if err != nil {
 				return
--- a/review/stand3/poison.go
+++ b/review/stand3/poison.go
@@ -15,14 +15,15 @@
 const (
 	poisonTargets = 18
 	poisonPath    = "/log/crash-"
-	poisonEvery   = 200 * time.Millisecond // between two retries of the client
-	poisonRetries = 25                     // after the restart
-	crashTime     = 3 * time.Second        // until a crashed target is back
-	stability     = 4 * time.Second        // stabilityS
-	mostRetries   = 3                      // that may reach targets
+	poisonEvery   = 2 * time.Second // until the request comes again
+	poisonRounds  = 4               // in which it comes, before the restart and after it
+	poisonRepeats = 3               // at once, each time: retry_abuse, x = 3.0
+	crashTime     = 3 * time.Second // until a crashed target is back
+	stability     = 4 * time.Second // stabilityS
+	mostRetries   = 3               // that may reach targets
 )
 
-// poison has a request that crashes each target which begins to run it. A client repeats it at three hosts in turn. Once it has crashed
+// poison has a request that crashes each target which begins to run it. A client repeats it at three hosts. Once it has crashed
 // three targets, and stabilityS later, all hosts are killed at the same moment and started again. The case counts the retries that
 // reach targets when the hosts are in touch again.
 func poison(s *stage, trouble bool) int {
@@ -62,11 +63,16 @@
 			s.log("%s sent to %s: answer %d %q", q.id, e.name, q.status, q.note)
 		})
 		reached = append(reached, q.id)
-		time.Sleep(poisonEvery)
 	}
-	for i := range 25 {
-		send(i)
+	come := func() {
+		for round := range poisonRounds {
+			for i := range 1 + poisonRepeats {
+				send(round + i)
+			}
+			time.Sleep(poisonEvery)
+		}
 	}
+	come()
 	clients.Wait()
 	runs := allRuns(targets)
 	first := 0
@@ -91,9 +97,7 @@
 	time.Sleep(stability + 2*time.Second)
 	reached = nil
 	repeated := time.Now()
-	for i := range poisonRetries {
-		send(i)
-	}
+	come()
 	clients.Wait()
 	time.Sleep(loadTime)
 	runs = allRuns(targets)
@@ -107,7 +111,7 @@
 			s.log("retry %s has reached %d targets", id, len(runs[id]))
 		}
 	}
-	s.log("%d of %d retries have reached targets (at most %d); %d unsafe requests were lost meanwhile", count, poisonRetries, mostRetries, len(load.lost(runs, repeated)))
+	s.log("%d of %d retries have reached targets (at most %d); %d unsafe requests were lost meanwhile", count, len(reached), mostRetries, len(load.lost(runs, repeated)))
 	for _, e := range edges {
 		if e.ended() {
 			return notRun
--- a/review/stand3/stage.go
+++ b/review/stand3/stage.go
@@ -23,6 +23,7 @@
 	started time.Time
 	store   *store
 	bounds  string
+	garble  dose
 
 	mu    sync.Mutex
 	edges []*edge
--- a/review/stand3/target.go
+++ b/review/stand3/target.go
@@ -20,9 +20,10 @@
 	// planHeader tells a target how to answer a request, as a URL query: n (bytes of the body), delay (milliseconds until the answer
 	// begins), pause (milliseconds from the first part of the body to the rest) and crash (the request crashes the target).
 	planHeader = "X-Plan"
-	// A faulty target breaks off garbleAnswers of 5 answers (0.4, the largest dose of garble). Of 10 targets garbleTargets are faulty (0.7).
-	garbleAnswers = 2
-	garbleTargets = 7
+	// Of 10 targets garbleTargets are faulty. Together they garble no more than garbleShare of their answers, at any moment: the dose of
+	// garble, how = "unframed".
+	garbleTargets = 5
+	garbleShare   = 0.05
 	slots         = 6
 	heartbeat     = 1500 * time.Millisecond
 	inTouch       = 5 * time.Second // longer than stabilityS
@@ -47,7 +48,6 @@
 
 	mu       sync.Mutex
 	runs     map[string][]run // by request id
-	answers  int
 	seq      int
 	boots    int
 	listener net.Listener // nil while the target is down
@@ -193,10 +193,16 @@
 		return false
 	}
 	first, rest := body[:len(body)*4/5], body[len(body)*4/5:]
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head, len(body), first)
+	if !garbled {
+		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n%s", head, first)
 	time.Sleep(time.Duration(number(plan, "pause")) * time.Millisecond)
 	if garbled {
-		return false // the answer breaks off
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // the answer has no length, and is reset on the way
+		}
+		return false
 	}
 	_, err := c.Write(rest)
 	return err == nil
@@ -222,8 +228,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[id] = append(t.runs[id], run{target: t.id, at: time.Now()})
-	t.answers++
-	return t.faulty && t.answers%5 < garbleAnswers
+	return t.faulty && t.stage.garble.take()
+}
+
+// dose counts the answers of all faulty targets, and those of them that are garbled.
+type dose struct {
+	mu             sync.Mutex
+	begun, garbled int
+}
+
+// take counts an answer, and reports whether it is to be garbled.
+func (d *dose) take() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.begun++
+	if float64(d.garbled+1) > garbleShare*float64(d.begun) {
+		return false
+	}
+	d.garbled++
+	return true
 }
 
 // bodyOf returns the body of n bytes with which the target answers the request.
